--- /dev/null
+++ b/core/src/main/java/org/damaskmoor/core/id/Incarnation.java
@@ -0,0 +1,27 @@
+package org.damaskmoor.core.id;
+
+/**
+ * Number of one start of a node's process. A later start of the same node has a greater number.
+ *
+ * <p>Invariant: {@code value} is positive. Immutable and thread-safe.
+ *
+ * @param value the number; made from the wall clock at the start, in milliseconds since the epoch
+ */
+public record Incarnation(long value) implements Comparable<Incarnation> {
+    public Incarnation {
+        if (value <= 0) {
+            throw new IllegalArgumentException(
+                    "An incarnation must be positive, but was " + value + ".");
+        }
+    }
+
+    @Override
+    public int compareTo(Incarnation other) {
+        return Long.compare(value, other.value);
+    }
+
+    @Override
+    public String toString() {
+        return Long.toString(value);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/damaskmoor/core/id/NodeId.java
@@ -0,0 +1,29 @@
+package org.damaskmoor.core.id;
+
+import java.util.Objects;
+
+/**
+ * Name of a node, unique in the whole system and kept across restarts of its VM.
+ *
+ * <p>Invariant: {@code value} is not empty. Immutable and thread-safe.
+ *
+ * @param value the name as it stands in the node's settings
+ */
+public record NodeId(String value) implements Comparable<NodeId> {
+    public NodeId {
+        Objects.requireNonNull(value, "value");
+        if (value.isEmpty()) {
+            throw new IllegalArgumentException("A node id must not be empty.");
+        }
+    }
+
+    @Override
+    public int compareTo(NodeId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/damaskmoor/core/id/RegionName.java
@@ -0,0 +1,24 @@
+package org.damaskmoor.core.id;
+
+import java.util.Objects;
+
+/**
+ * Name of a region.
+ *
+ * <p>Invariant: {@code value} is not empty. Immutable and thread-safe.
+ *
+ * @param value the name as operators write it
+ */
+public record RegionName(String value) {
+    public RegionName {
+        Objects.requireNonNull(value, "value");
+        if (value.isEmpty()) {
+            throw new IllegalArgumentException("A region name must not be empty.");
+        }
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
