--- /dev/null
+++ b/mesh/src/main/java/org/damaskmoor/mesh/MeshSecurity.java
@@ -0,0 +1,11 @@
+package org.damaskmoor.mesh;
+
+import io.netty.handler.ssl.SslContext;
+
+/**
+ * TLS between nodes. Immutable and thread-safe.
+ *
+ * @param server used for connections that other nodes open
+ * @param client used for connections that this node opens
+ */
+public record MeshSecurity(SslContext server, SslContext client) {}
--- /dev/null
+++ b/mesh/src/main/java/org/damaskmoor/mesh/NettyMeshTransport.java
@@ -0,0 +1,144 @@
+package org.damaskmoor.mesh;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.mesh.internal.LinkInitializer;
+import org.damaskmoor.mesh.internal.PeerLinks;
+import org.damaskmoor.mesh.ring.BoundedMailbox;
+import org.damaskmoor.schema.mesh.MeshFrame;
+
+/**
+ * The mesh over Netty with one event loop thread.
+ *
+ * <p>Thread safety: public methods may be called from any thread; connections are touched on the
+ * event loop only. Invariant: at most one current connection for each peer.
+ */
+public final class NettyMeshTransport implements MeshTransport {
+    private static final int ACCEPT_BACKLOG = 1024;
+    private static final long STOP_QUIET_MILLISECONDS = 0;
+    private static final long STOP_TIMEOUT_MILLISECONDS = 2_000;
+
+    private record Outgoing(MeshPeer peer, MeshFrame frame, boolean overNewConnection) {}
+
+    private final MeshSettings settings;
+    private final MeshListener listener;
+    private final NioEventLoopGroup group;
+    private final EventLoop loop;
+    private final LinkInitializer initializer;
+    private final BoundedMailbox<Outgoing> outgoing;
+    private final Map<NodeId, PeerLinks> links = new HashMap<>();
+    private Channel server;
+
+    /**
+     * Creates a transport that neither listens nor connects yet.
+     *
+     * @param settings this node's part
+     * @param listener told of frames and failures, on the event loop
+     * @param customizer changes each channel before it is used
+     */
+    public NettyMeshTransport(
+            MeshSettings settings, MeshListener listener, ChannelCustomizer customizer) {
+        this.settings = settings;
+        this.listener = listener;
+        this.group = new NioEventLoopGroup(1, new DefaultThreadFactory("mesh", true));
+        this.loop = group.next();
+        this.initializer = new LinkInitializer(settings, listener, customizer);
+        this.outgoing =
+                new BoundedMailbox<>(settings.ringMessages(), loop, this::dispatch, this::flushAll);
+    }
+
+    /** The event loop, for parts that share the mesh's thread. */
+    public NioEventLoopGroup group() {
+        return group;
+    }
+
+    /**
+     * Opens the listening port.
+     *
+     * @return completes when the port is open, or fails with the cause, for example a port in use
+     */
+    public CompletableFuture<Void> start() {
+        CompletableFuture<Void> started = new CompletableFuture<>();
+        ChannelFuture bound =
+                new ServerBootstrap()
+                        .group(group)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(initializer.forAccepted())
+                        .bind(settings.listenAddress());
+        bound.addListener(
+                done -> {
+                    server = bound.channel();
+                    if (done.isSuccess()) {
+                        started.complete(null);
+                    } else {
+                        started.completeExceptionally(done.cause());
+                    }
+                });
+        return started;
+    }
+
+    /** Closes every connection and ends the event loop. */
+    public CompletableFuture<Void> stop() {
+        CompletableFuture<Void> stopped = new CompletableFuture<>();
+        if (server == null) {
+            endLoop(stopped);
+        } else {
+            server.close().addListener(done -> endLoop(stopped));
+        }
+        return stopped;
+    }
+
+    private void endLoop(CompletableFuture<Void> stopped) {
+        group.shutdownGracefully(
+                        STOP_QUIET_MILLISECONDS, STOP_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS)
+                .addListener(done -> stopped.complete(null));
+    }
+
+    @Override
+    public void send(MeshPeer peer, MeshFrame frame) {
+        enqueue(new Outgoing(peer, frame, false));
+    }
+
+    @Override
+    public void sendOverNewConnection(MeshPeer peer, MeshFrame frame) {
+        enqueue(new Outgoing(peer, frame, true));
+    }
+
+    private void enqueue(Outgoing message) {
+        if (!outgoing.offer(message)) {
+            NodeId peer = message.peer().nodeId();
+            listener.onUnsent(
+                    peer,
+                    message.frame(),
+                    new MeshException(
+                            MeshException.Step.ENQUEUE, peer, "the outgoing ring is full", null));
+        }
+    }
+
+    private void dispatch(Outgoing message) {
+        PeerLinks peerLinks =
+                links.computeIfAbsent(
+                        message.peer().nodeId(),
+                        nodeId -> new PeerLinks(nodeId, settings, listener, initializer, loop));
+        peerLinks.send(message.peer().address(), message.frame(), message.overNewConnection());
+    }
+
+    private void flushAll() {
+        links.values().forEach(PeerLinks::flush);
+        links.values().removeIf(PeerLinks::isIdle);
+    }
+}
--- /dev/null
+++ b/mesh/src/main/java/org/damaskmoor/mesh/internal/PeerLinks.java
@@ -0,0 +1,129 @@
+package org.damaskmoor.mesh.internal;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Queue;
+import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.mesh.MeshException;
+import org.damaskmoor.mesh.MeshException.Step;
+import org.damaskmoor.mesh.MeshListener;
+import org.damaskmoor.mesh.MeshSettings;
+import org.damaskmoor.schema.mesh.MeshFrame;
+
+/**
+ * The connections that this node opened to one peer: the current one, and what waits for it.
+ *
+ * <p>Confined to the mesh event loop. Invariant: frames wait only while a connection is being
+ * opened.
+ */
+public final class PeerLinks {
+    private final NodeId peer;
+    private final MeshSettings settings;
+    private final MeshListener listener;
+    private final LinkInitializer initializer;
+    private final EventLoop loop;
+    private final Queue<MeshFrame> waiting = new ArrayDeque<>();
+    private Channel current;
+    private ChannelFuture opening;
+    private boolean unflushed;
+
+    public PeerLinks(
+            NodeId peer,
+            MeshSettings settings,
+            MeshListener listener,
+            LinkInitializer initializer,
+            EventLoop loop) {
+        this.peer = peer;
+        this.settings = settings;
+        this.listener = listener;
+        this.initializer = initializer;
+        this.loop = loop;
+    }
+
+    /** Writes the frame, or keeps it until the connection being opened is ready. */
+    public void send(InetSocketAddress address, MeshFrame frame, boolean overNewConnection) {
+        boolean usable = current != null && current.isActive() && !overNewConnection;
+        if (usable && opening == null) {
+            write(current, frame);
+            return;
+        }
+        if (waiting.size() >= settings.ringMessages()) {
+            unsent(frame, Step.ENQUEUE, "too many frames wait for the connection", null);
+            return;
+        }
+        waiting.add(frame);
+        if (opening == null) {
+            open(address);
+        }
+    }
+
+    /** Sends what was written since the last call. */
+    public void flush() {
+        if (unflushed && current != null) {
+            current.flush();
+        }
+        unflushed = false;
+    }
+
+    /** True when nothing is open and nothing waits, so that this object can be dropped. */
+    public boolean isIdle() {
+        return opening == null && waiting.isEmpty() && (current == null || !current.isOpen());
+    }
+
+    private void open(InetSocketAddress address) {
+        opening =
+                new Bootstrap()
+                        .group(loop)
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .option(
+                                ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                                (int) settings.connectTimeout().toMillis())
+                        .handler(initializer.forOpened(peer, address, this::onGone))
+                        .connect(address);
+        opening.addListener(done -> onOpened((ChannelFuture) done));
+    }
+
+    private void onOpened(ChannelFuture future) {
+        opening = null;
+        if (!future.isSuccess()) {
+            failWaiting(future.cause());
+            return;
+        }
+        current = future.channel();
+        for (MeshFrame frame = waiting.poll(); frame != null; frame = waiting.poll()) {
+            write(current, frame);
+        }
+        flush();
+    }
+
+    private void failWaiting(Throwable cause) {
+        for (MeshFrame frame = waiting.poll(); frame != null; frame = waiting.poll()) {
+            unsent(frame, Step.CONNECT, "the connection could not be opened", cause);
+        }
+    }
+
+    private void write(Channel channel, MeshFrame frame) {
+        unflushed = true;
+        channel.write(frame).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+    }
+
+    private void onGone(Channel channel, Throwable cause) {
+        if (channel == current) {
+            current = null;
+        }
+        listener.onLinkLost(
+                peer, new MeshException(Step.READ, peer, "the connection is gone", cause));
+    }
+
+    private void unsent(MeshFrame frame, Step step, String message, Throwable cause) {
+        listener.onUnsent(peer, frame, new MeshException(step, peer, message, cause));
+    }
+}
