Add the at-most-once state machines of target and entry

The answers "not run" and "unknown" must never be mixed up, so both sides of the protocol stand as state machines without I/O: TargetLedger (what a target did with a call) and EntryCall (what an entry may conclude from it).

A full ledger can't keep a tombstone per refused call, yet a copy of that call may come later when there is room. Dropping old entries was ruled out (they may be needed), as was a reserve of tombstones (a flood uses it up). A fence per entry incarnation refuses all unknown sequences up to the refused one, in constant space.

--- /dev/null
+++ b/core/src/main/java/org/damaskmoor/core/once/AcceptanceResult.java
@@ -0,0 +1,19 @@
+package org.damaskmoor.core.once;
+
+/** What became of a call that reached its target. Immutable and thread-safe. */
+public enum AcceptanceResult {
+    /** New: it is queued now. */
+    ACCEPTED,
+    /** The same request id came before; it is not run again. */
+    DUPLICATE,
+    /** Another request with the same idempotency key came before; both get that one's outcome. */
+    JOINED,
+    /** The entry sealed the request before the call arrived; it never runs here. */
+    SEALED_ALREADY,
+    /** The call is meant for another incarnation of this node. Proves nothing about that one. */
+    WRONG_INCARNATION,
+    /** The ledger has no room; the call has not run and never will here. */
+    FULL,
+    /** Its deadline passed on the way; it has not run and never will here. */
+    DEADLINE_PASSED
+}
--- /dev/null
+++ b/core/src/main/java/org/damaskmoor/core/once/AttemptId.java
@@ -0,0 +1,23 @@
+package org.damaskmoor.core.once;
+
+import java.util.Objects;
+import org.damaskmoor.core.id.RequestId;
+
+/**
+ * Names one attempt at a request, as messages between nodes carry it.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param request the request
+ * @param attempt the number of the attempt; the first one is 1
+ */
+public record AttemptId(RequestId request, int attempt) {
+    public AttemptId {
+        Objects.requireNonNull(request, "request");
+    }
+
+    @Override
+    public String toString() {
+        return request + "#" + attempt;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/damaskmoor/core/once/CallKey.java
@@ -0,0 +1,25 @@
+package org.damaskmoor.core.once;
+
+import java.util.Objects;
+import java.util.Optional;
+import org.damaskmoor.core.id.RequestId;
+
+/**
+ * What a target knows a call by: its request id and, when the caller gave one, its idempotency key.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param id the id of the request, the same through all attempts
+ * @param idempotencyKey the caller's key, empty when it sent none
+ */
+public record CallKey(RequestId id, Optional<IdempotencyKey> idempotencyKey) {
+    public CallKey {
+        Objects.requireNonNull(id, "id");
+        Objects.requireNonNull(idempotencyKey, "idempotencyKey");
+    }
+
+    /** Returns the key of a call without an idempotency key. */
+    public static CallKey of(RequestId id) {
+        return new CallKey(id, Optional.empty());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/damaskmoor/core/once/LedgerLimits.java
@@ -0,0 +1,25 @@
+package org.damaskmoor.core.once;
+
+/**
+ * Bounds on the memory of a {@link TargetLedger}.
+ *
+ * <p>Invariant: all bounds are positive. Immutable and thread-safe.
+ *
+ * @param maximumEntries requests kept at once, tombstones and joined resends included
+ * @param maximumAnswerBytes bytes of answers kept for resends; the oldest answers go first
+ * @param maximumFences entry incarnations that are fenced one by one when the ledger is full
+ */
+public record LedgerLimits(int maximumEntries, long maximumAnswerBytes, int maximumFences) {
+    public LedgerLimits {
+        if (maximumEntries <= 0 || maximumAnswerBytes <= 0 || maximumFences <= 0) {
+            throw new IllegalArgumentException(
+                    "The limits of a ledger must be positive, but were maximumEntries="
+                            + maximumEntries
+                            + ", maximumAnswerBytes="
+                            + maximumAnswerBytes
+                            + ", maximumFences="
+                            + maximumFences
+                            + ".");
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/damaskmoor/core/once/internal/BoundedTargetLedger.java
@@ -0,0 +1,281 @@
+package org.damaskmoor.core.once.internal;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import org.damaskmoor.core.id.Incarnation;
+import org.damaskmoor.core.id.RequestId;
+import org.damaskmoor.core.once.Acceptance;
+import org.damaskmoor.core.once.AcceptanceResult;
+import org.damaskmoor.core.once.CallKey;
+import org.damaskmoor.core.once.CallState;
+import org.damaskmoor.core.once.CancelResult;
+import org.damaskmoor.core.once.HandOverResult;
+import org.damaskmoor.core.once.IdempotencyKey;
+import org.damaskmoor.core.once.LedgerLimits;
+import org.damaskmoor.core.once.TargetLedger;
+import org.damaskmoor.schema.mesh.SealState;
+
+/**
+ * A ledger in hash tables of bounded size.
+ *
+ * <p>Invariants: {@code runs} names for each idempotency key the one run that may have happened
+ * here, and no run that truly did not; the number of entries never exceeds the limit. Not
+ * thread-safe.
+ */
+public final class BoundedTargetLedger implements TargetLedger {
+    private final Incarnation ownIncarnation;
+    private final LedgerLimits limits;
+    private final Map<RequestId, LedgerEntry> entries = new HashMap<>();
+    private final Map<IdempotencyKey, LedgerEntry> runs = new HashMap<>();
+    private final ExpiryQueue expiry = new ExpiryQueue();
+    private final AnswerMemory answers;
+    private final EntryFences fences;
+
+    public BoundedTargetLedger(Incarnation ownIncarnation, LedgerLimits limits) {
+        this.ownIncarnation = Objects.requireNonNull(ownIncarnation, "ownIncarnation");
+        this.limits = Objects.requireNonNull(limits, "limits");
+        this.answers = new AnswerMemory(limits.maximumAnswerBytes());
+        this.fences = new EntryFences(limits.maximumFences());
+    }
+
+    @Override
+    public Acceptance accept(
+            CallKey key,
+            Incarnation targetIncarnation,
+            long deadlineNanoseconds,
+            long keepUntilNanoseconds,
+            long nowNanoseconds) {
+        if (!targetIncarnation.equals(ownIncarnation)) {
+            return notQueued(AcceptanceResult.WRONG_INCARNATION, key);
+        }
+        LedgerEntry known = entries.get(key.id());
+        if (known != null) {
+            return duplicate(known, keepUntilNanoseconds);
+        }
+        LedgerEntry run = key.idempotencyKey().map(runs::get).orElse(null);
+        if (run != null) {
+            return join(run, key, deadlineNanoseconds, keepUntilNanoseconds);
+        }
+        if (deadlineNanoseconds <= nowNanoseconds) {
+            return notQueued(AcceptanceResult.DEADLINE_PASSED, key);
+        }
+        if (isFull() || fences.covers(key.id(), nowNanoseconds)) {
+            fences.raise(key.id(), keepUntilNanoseconds);
+            return notQueued(AcceptanceResult.FULL, key);
+        }
+        return queue(LedgerEntry.queued(key, deadlineNanoseconds, keepUntilNanoseconds));
+    }
+
+    private Acceptance queue(LedgerEntry entry) {
+        add(entry);
+        entry.idempotencyKey.ifPresent(idempotencyKey -> runs.put(idempotencyKey, entry));
+        return acceptance(AcceptanceResult.ACCEPTED, entry);
+    }
+
+    private Acceptance duplicate(LedgerEntry known, long keepUntilNanoseconds) {
+        known.keepAtLeastUntil(keepUntilNanoseconds);
+        if (known.visibleState() == CallState.SEALED) {
+            return acceptance(AcceptanceResult.SEALED_ALREADY, known);
+        }
+        AcceptanceResult result =
+                known.isResend() ? AcceptanceResult.JOINED : AcceptanceResult.DUPLICATE;
+        return acceptance(result, known);
+    }
+
+    private Acceptance join(
+            LedgerEntry run, CallKey key, long deadlineNanoseconds, long keepUntilNanoseconds) {
+        if (isFull()) {
+            // Without an entry it can't be told the outcome later, and "not run" may be untrue.
+            return new Acceptance(
+                    AcceptanceResult.JOINED, run.id, CallState.FAILED, Optional.empty());
+        }
+        LedgerEntry resend = run.join(key, deadlineNanoseconds, keepUntilNanoseconds);
+        add(resend);
+        return acceptance(AcceptanceResult.JOINED, resend);
+    }
+
+    private void add(LedgerEntry entry) {
+        entries.put(entry.id, entry);
+        expiry.add(entry);
+    }
+
+    private boolean isFull() {
+        return entries.size() >= limits.maximumEntries();
+    }
+
+    private static Acceptance notQueued(AcceptanceResult result, CallKey key) {
+        return new Acceptance(result, key.id(), CallState.REFUSED, Optional.empty());
+    }
+
+    private static Acceptance acceptance(AcceptanceResult result, LedgerEntry entry) {
+        return new Acceptance(result, entry.run.id, entry.visibleState(), entry.run.answer);
+    }
+
+    @Override
+    public HandOverResult handOver(RequestId id, long nowNanoseconds) {
+        LedgerEntry entry = ownRun(id, CallState.QUEUED);
+        if (entry == null) {
+            return HandOverResult.NOT_QUEUED;
+        }
+        if (entry.deadlineNanoseconds <= nowNanoseconds) {
+            endWithoutRun(entry, CallState.REFUSED);
+            return HandOverResult.DEADLINE_PASSED;
+        }
+        entry.state = CallState.HANDED_OVER;
+        return HandOverResult.RUN;
+    }
+
+    @Override
+    public boolean returned(RequestId id) {
+        LedgerEntry entry = ownRun(id, CallState.HANDED_OVER);
+        if (entry == null) {
+            return false;
+        }
+        entry.state = CallState.QUEUED;
+        return true;
+    }
+
+    @Override
+    public boolean refuse(RequestId id) {
+        LedgerEntry entry = ownRun(id, CallState.QUEUED);
+        if (entry == null) {
+            return false;
+        }
+        endWithoutRun(entry, CallState.REFUSED);
+        return true;
+    }
+
+    @Override
+    public boolean answered(RequestId id, ByteString answer) {
+        LedgerEntry entry = ownRun(id, CallState.HANDED_OVER);
+        if (entry == null) {
+            return false;
+        }
+        answers.keep(entry, answer);
+        end(entry, CallState.ANSWERED);
+        return true;
+    }
+
+    @Override
+    public boolean failed(RequestId id) {
+        LedgerEntry entry = ownRun(id, CallState.HANDED_OVER);
+        if (entry == null) {
+            return false;
+        }
+        end(entry, CallState.FAILED);
+        return true;
+    }
+
+    @Override
+    public SealState seal(RequestId id, Incarnation targetIncarnation, long keepUntilNanoseconds) {
+        if (!targetIncarnation.equals(ownIncarnation)) {
+            return SealState.OTHER_INCARNATION;
+        }
+        LedgerEntry entry = entries.get(id);
+        if (entry == null) {
+            leaveTombstone(id, keepUntilNanoseconds);
+            return SealState.SEALED;
+        }
+        entry.keepAtLeastUntil(keepUntilNanoseconds);
+        if (!entry.isResend() && entry.state == CallState.QUEUED) {
+            endWithoutRun(entry, CallState.SEALED);
+        }
+        return sealState(entry.visibleState());
+    }
+
+    private void leaveTombstone(RequestId id, long keepUntilNanoseconds) {
+        if (isFull()) {
+            fences.raise(id, keepUntilNanoseconds);
+        } else {
+            add(LedgerEntry.tombstone(id, keepUntilNanoseconds));
+        }
+    }
+
+    /** A resend of a queued run counts as handed over, because that run is not stopped for it. */
+    private static SealState sealState(CallState state) {
+        return switch (state) {
+            case SEALED, REFUSED -> SealState.SEALED;
+            case ANSWERED -> SealState.ANSWERED;
+            case QUEUED, HANDED_OVER, FAILED -> SealState.HANDED_OVER;
+        };
+    }
+
+    @Override
+    public CancelResult cancel(RequestId id) {
+        LedgerEntry entry = entries.get(id);
+        if (entry == null || entry.run.state.isFinal()) {
+            return CancelResult.NOTHING_TO_DO;
+        }
+        if (entry.isResend() || !entry.joined.isEmpty()) {
+            return CancelResult.STILL_WANTED;
+        }
+        if (entry.state == CallState.HANDED_OVER) {
+            return CancelResult.RUNNING;
+        }
+        endWithoutRun(entry, CallState.REFUSED);
+        return CancelResult.DROPPED;
+    }
+
+    private LedgerEntry ownRun(RequestId id, CallState state) {
+        LedgerEntry entry = entries.get(id);
+        boolean matches = entry != null && !entry.isResend() && entry.state == state;
+        return matches ? entry : null;
+    }
+
+    private void endWithoutRun(LedgerEntry entry, CallState state) {
+        entry.idempotencyKey.ifPresent(idempotencyKey -> runs.remove(idempotencyKey, entry));
+        end(entry, state);
+    }
+
+    private void end(LedgerEntry entry, CallState state) {
+        entry.state = state;
+        expiry.ended(entry);
+        for (RequestId resend : entry.joined) {
+            expiry.ended(entries.get(resend));
+        }
+    }
+
+    @Override
+    public void expire(long nowNanoseconds) {
+        expiry.drain(nowNanoseconds, this::drop);
+        fences.expire(nowNanoseconds);
+    }
+
+    private void drop(LedgerEntry entry) {
+        entries.remove(entry.id);
+        answers.forget(entry);
+        entry.idempotencyKey.ifPresent(idempotencyKey -> runs.remove(idempotencyKey, entry));
+    }
+
+    @Override
+    public Optional<CallState> state(RequestId id) {
+        return Optional.ofNullable(entries.get(id)).map(LedgerEntry::visibleState);
+    }
+
+    @Override
+    public Optional<ByteString> answer(RequestId id) {
+        return Optional.ofNullable(entries.get(id)).flatMap(entry -> entry.run.answer);
+    }
+
+    @Override
+    public List<RequestId> sharing(RequestId id) {
+        LedgerEntry entry = entries.get(id);
+        if (entry == null) {
+            return List.of();
+        }
+        List<RequestId> ids = new ArrayList<>(1 + entry.run.joined.size());
+        ids.add(entry.run.id);
+        ids.addAll(entry.run.joined);
+        return ids;
+    }
+
+    @Override
+    public int size() {
+        return entries.size();
+    }
+}
