--- a/mesh/src/main/java/org/damaskmoor/mesh/MeshListener.java
+++ b/mesh/src/main/java/org/damaskmoor/mesh/MeshListener.java
@@ -15,6 +15,9 @@
 
     /**
      * A connection that this node opened is gone. Frames sent over it may or may not have arrived.
+     *
+     * @param lastUsedNanoseconds frames given to the mesh later than this, on the monotonic clock,
+     *     did not use the connection
      */
-    void onLinkLost(NodeId peer, MeshException cause);
+    void onLinkLost(NodeId peer, long lastUsedNanoseconds, MeshException cause);
 }
--- a/mesh/src/main/java/org/damaskmoor/mesh/MeshTransport.java
+++ b/mesh/src/main/java/org/damaskmoor/mesh/MeshTransport.java
@@ -21,8 +21,11 @@
     void send(MeshPeer peer, MeshFrame frame);
 
     /**
-     * Sends a frame over a connection opened for it, which then replaces the current one. For
-     * frames that must not depend on a connection that may have gone silent.
+     * Sends a frame over a connection that was opened after the given time, opening one when there
+     * is none; it then replaces the current one. For frames that must not depend on a connection
+     * that may have gone silent.
+     *
+     * @param openedAfterNanoseconds a time on the monotonic clock
      */
-    void sendOverNewConnection(MeshPeer peer, MeshFrame frame);
+    void sendOverNewerConnection(MeshPeer peer, MeshFrame frame, long openedAfterNanoseconds);
 }
--- a/mesh/src/main/java/org/damaskmoor/mesh/NettyMeshTransport.java
+++ b/mesh/src/main/java/org/damaskmoor/mesh/NettyMeshTransport.java
@@ -29,7 +29,7 @@
     private static final long STOP_QUIET_MILLISECONDS = 0;
     private static final long STOP_TIMEOUT_MILLISECONDS = 2_000;
 
-    private record Outgoing(MeshPeer peer, MeshFrame frame, boolean overNewConnection) {}
+    private record Outgoing(MeshPeer peer, MeshFrame frame, long openedAfterNanoseconds) {}
 
     private final MeshSettings settings;
     private final MeshListener listener;
@@ -110,12 +110,13 @@
 
     @Override
     public void send(MeshPeer peer, MeshFrame frame) {
-        enqueue(new Outgoing(peer, frame, false));
+        enqueue(new Outgoing(peer, frame, PeerLinks.ANY_CONNECTION));
     }
 
     @Override
-    public void sendOverNewConnection(MeshPeer peer, MeshFrame frame) {
-        enqueue(new Outgoing(peer, frame, true));
+    public void sendOverNewerConnection(
+            MeshPeer peer, MeshFrame frame, long openedAfterNanoseconds) {
+        enqueue(new Outgoing(peer, frame, openedAfterNanoseconds));
     }
 
     private void enqueue(Outgoing message) {
@@ -134,7 +135,7 @@
                 links.computeIfAbsent(
                         message.peer().nodeId(),
                         nodeId -> new PeerLinks(nodeId, settings, listener, initializer, loop));
-        peerLinks.send(message.peer().address(), message.frame(), message.overNewConnection());
+        peerLinks.send(message.peer().address(), message.frame(), message.openedAfterNanoseconds());
     }
 
     private void flushAll() {
--- a/mesh/src/main/java/org/damaskmoor/mesh/internal/PeerLinks.java
+++ b/mesh/src/main/java/org/damaskmoor/mesh/internal/PeerLinks.java
@@ -9,6 +9,8 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Queue;
 import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.mesh.MeshException;
@@ -24,13 +26,18 @@
  * opened.
  */
 public final class PeerLinks {
+    /** Stands for "opened at any time". */
+    public static final long ANY_CONNECTION = Long.MIN_VALUE;
+
     private final NodeId peer;
     private final MeshSettings settings;
     private final MeshListener listener;
     private final LinkInitializer initializer;
     private final EventLoop loop;
     private final Queue<MeshFrame> waiting = new ArrayDeque<>();
+    private final Map<Channel, Long> replacedAt = new HashMap<>();
     private Channel current;
+    private long currentOpenedNanoseconds;
     private ChannelFuture opening;
     private boolean unflushed;
 
@@ -48,9 +55,8 @@
     }
 
     /** Writes the frame, or keeps it until the connection being opened is ready. */
-    public void send(InetSocketAddress address, MeshFrame frame, boolean overNewConnection) {
-        boolean usable = current != null && current.isActive() && !overNewConnection;
-        if (usable && opening == null) {
+    public void send(InetSocketAddress address, MeshFrame frame, long openedAfterNanoseconds) {
+        if (opening == null && isUsable(openedAfterNanoseconds)) {
             write(current, frame);
             return;
         }
@@ -77,6 +83,13 @@
         return opening == null && waiting.isEmpty() && (current == null || !current.isOpen());
     }
 
+    private boolean isUsable(long openedAfterNanoseconds) {
+        boolean newEnough =
+                openedAfterNanoseconds == ANY_CONNECTION
+                        || currentOpenedNanoseconds - openedAfterNanoseconds > 0;
+        return current != null && current.isActive() && newEnough;
+    }
+
     private void open(InetSocketAddress address) {
         opening =
                 new Bootstrap()
@@ -97,13 +110,23 @@
             failWaiting(future.cause());
             return;
         }
-        current = future.channel();
+        replaceCurrent(future.channel());
         for (MeshFrame frame = waiting.poll(); frame != null; frame = waiting.poll()) {
             write(current, frame);
         }
         flush();
     }
 
+    private void replaceCurrent(Channel opened) {
+        long now = System.nanoTime();
+        if (current != null && current.isActive()) {
+            current.flush();
+            replacedAt.put(current, now);
+        }
+        current = opened;
+        currentOpenedNanoseconds = now;
+    }
+
     private void failWaiting(Throwable cause) {
         for (MeshFrame frame = waiting.poll(); frame != null; frame = waiting.poll()) {
             unsent(frame, Step.CONNECT, "the connection could not be opened", cause);
@@ -119,8 +142,10 @@
         if (channel == current) {
             current = null;
         }
-        listener.onLinkLost(
-                peer, new MeshException(Step.READ, peer, "the connection is gone", cause));
+        Long replaced = replacedAt.remove(channel);
+        long lastUsed = replaced == null ? System.nanoTime() : replaced;
+        MeshException failure = new MeshException(Step.READ, peer, "the connection is gone", cause);
+        listener.onLinkLost(peer, lastUsed, failure);
     }
 
     private void unsent(MeshFrame frame, Step step, String message, Throwable cause) {
--- /dev/null
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/EntryDispatcher.java
@@ -0,0 +1,234 @@
+package org.damaskmoor.node.internal.entry;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import org.damaskmoor.core.id.CallerName;
+import org.damaskmoor.core.id.Incarnation;
+import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.core.id.RequestId;
+import org.damaskmoor.core.id.ServiceName;
+import org.damaskmoor.node.internal.http.CallerHandler;
+import org.damaskmoor.node.internal.http.CallerReply;
+import org.damaskmoor.node.internal.http.CallerRequest;
+import org.damaskmoor.node.internal.time.Timers;
+import org.damaskmoor.schema.mesh.Call;
+import org.damaskmoor.schema.mesh.MeshFrame;
+import org.damaskmoor.schema.mesh.RefusalReason;
+
+/**
+ * Takes callers' requests at an entry node and leads each to its reply.
+ *
+ * <p>Confined to the caller event loop; frames reach it through a mailbox. Invariant: a message of
+ * another request, or of a request that ended, changes nothing.
+ */
+public final class EntryDispatcher implements CallerHandler {
+    private static final ServiceName NO_SERVICE = new ServiceName("none");
+
+    private final NodeId self;
+    private final Incarnation incarnation;
+    private final EntryLimits limits;
+    private final RequestMatcher matcher;
+    private final Function<MatchedRequest, ServiceRuntime> runtimes;
+    private final EntryEnvironment environment;
+    private final Map<Long, EntryExchange> exchanges = new HashMap<>();
+    private long lastSequence;
+
+    EntryDispatcher(
+            NodeId self,
+            Incarnation incarnation,
+            EntryLimits limits,
+            RequestMatcher matcher,
+            Function<MatchedRequest, ServiceRuntime> runtimes,
+            EntryParts parts) {
+        this.self = self;
+        this.incarnation = incarnation;
+        this.limits = limits;
+        this.matcher = matcher;
+        this.runtimes = runtimes;
+        this.environment =
+                new EntryEnvironment(
+                        parts.clock(),
+                        parts.timers(),
+                        parts.carrier(),
+                        parts.refusals(),
+                        parts.outcomes(),
+                        finished -> exchanges.remove(finished.id().sequence()),
+                        limits.acceptanceTimeoutMilliseconds());
+    }
+
+    /** What a dispatcher works with, from outside of it. Confined to the caller event loop. */
+    record EntryParts(
+            LongSupplier clock,
+            Timers timers,
+            TargetCarrier carrier,
+            RefusalRecorder refusals,
+            OutcomeListener outcomes) {}
+
+    /**
+     * Bounds of an entry node. Immutable and thread-safe.
+     *
+     * @param openRequests most requests that wait for their reply
+     * @param defaultTimeoutMilliseconds deadline when neither caller nor rule names one
+     * @param acceptanceTimeoutMilliseconds silence after which a call is sealed
+     */
+    public record EntryLimits(
+            int openRequests,
+            long defaultTimeoutMilliseconds,
+            long acceptanceTimeoutMilliseconds) {}
+
+    @Override
+    public Runnable handle(CallerRequest request, Consumer<CallerReply> reply) {
+        Optional<MatchedRequest> matched = matcher.match(request);
+        if (matched.isEmpty()) {
+            refuse(unmatched(request), RefusalReason.UNKNOWN_SERVICE, reply);
+            return () -> {};
+        }
+        RequestId id = new RequestId(self, incarnation, ++lastSequence);
+        CallTemplate template = template(id, request, matched.get());
+        if (!matched.get().allowed()) {
+            refuse(template, RefusalReason.NOT_ALLOWED, reply);
+            return () -> {};
+        }
+        if (exchanges.size() >= limits.openRequests()) {
+            refuse(template, RefusalReason.NODE_BUSY, reply);
+            return () -> {};
+        }
+        return start(id, template, runtimes.apply(matched.get()), reply);
+    }
+
+    @Override
+    public void refuseUnread(String caller, RefusalReason reason, Consumer<CallerReply> reply) {
+        refuse(
+                new CallTemplate(
+                        NO_SERVICE,
+                        new CallerName(caller),
+                        Call.getDefaultInstance(),
+                        environment.now()),
+                reason,
+                reply);
+    }
+
+    /** Requests that wait for their reply. */
+    public int openRequests() {
+        return exchanges.size();
+    }
+
+    /** Takes a frame from a target. */
+    public void onFrame(MeshFrame frame) {
+        switch (frame.getBodyCase()) {
+            case ACCEPTED ->
+                    find(frame.getAccepted().getRequestId())
+                            .ifPresent(
+                                    exchange ->
+                                            exchange.onAccepted(frame.getAccepted().getAttempt()));
+            case ANSWER ->
+                    find(frame.getAnswer().getRequestId())
+                            .ifPresent(exchange -> exchange.onAnswer(frame.getAnswer()));
+            case REFUSED ->
+                    find(frame.getRefused().getRequestId())
+                            .ifPresent(exchange -> exchange.onRefused(frame.getRefused()));
+            case FAILED ->
+                    find(frame.getFailed().getRequestId())
+                            .ifPresent(exchange -> exchange.onFailed(frame.getFailed()));
+            case SEALED ->
+                    find(frame.getSealed().getRequestId())
+                            .ifPresent(
+                                    exchange ->
+                                            exchange.onSealResult(
+                                                    frame.getSealed().getAttempt(),
+                                                    frame.getSealed().getState()));
+            default -> throw new IllegalArgumentException("unexpected " + frame.getBodyCase());
+        }
+    }
+
+    /** A frame was certainly not sent. */
+    public void onUnsent(MeshFrame frame, RefusalReason reason) {
+        if (frame.hasCall()) {
+            find(frame.getCall().getRequestId())
+                    .ifPresent(
+                            exchange ->
+                                    exchange.onCallUnsent(frame.getCall().getAttempt(), reason));
+        } else if (frame.hasSeal()) {
+            find(frame.getSeal().getRequestId())
+                    .ifPresent(exchange -> exchange.onSealUnsent(frame.getSeal().getAttempt()));
+        }
+    }
+
+    /** A connection to a target is gone; what was sent before the given time is in doubt. */
+    public void onConnectionLost(NodeId target, long sentBeforeNanoseconds) {
+        for (EntryExchange exchange : List.copyOf(exchanges.values())) {
+            exchange.onConnectionLost(target, sentBeforeNanoseconds);
+        }
+    }
+
+    private Runnable start(
+            RequestId id,
+            CallTemplate template,
+            ServiceRuntime runtime,
+            Consumer<CallerReply> reply) {
+        EntryExchange exchange = new EntryExchange(id, template, runtime, environment, reply);
+        exchanges.put(id.sequence(), exchange);
+        exchange.start();
+        return exchange::onCallerGone;
+    }
+
+    private CallTemplate template(RequestId id, CallerRequest request, MatchedRequest matched) {
+        Call call =
+                Call.newBuilder()
+                        .setRequestId(EntryFrames.message(id))
+                        .setService(matched.service().value())
+                        .setMethod(request.method())
+                        .setTarget(request.target())
+                        .addAllHeaders(request.headers())
+                        .setBody(request.body())
+                        .setCaller(matched.caller().value())
+                        .setKind(matched.kind())
+                        .setIdempotencyKey(request.header("Idempotency-Key"))
+                        .setNonIdempotent(matched.nonIdempotent())
+                        .setClaim(matched.claim())
+                        .setWeight(matched.weight())
+                        .setImportance(matched.importance())
+                        .setConfigurationVersion(matched.configurationVersion())
+                        .build();
+        long deadline =
+                request.arrivalNanoseconds()
+                        + TimeUnit.MILLISECONDS.toNanos(timeoutMilliseconds(request, matched));
+        return new CallTemplate(matched.service(), matched.caller(), call, deadline);
+    }
+
+    private long timeoutMilliseconds(CallerRequest request, MatchedRequest matched) {
+        long allowed =
+                matched.timeoutMilliseconds() > 0
+                        ? matched.timeoutMilliseconds()
+                        : limits.defaultTimeoutMilliseconds();
+        return CallerDeadline.milliseconds(request).stream()
+                .map(asked -> Math.min(asked, allowed))
+                .findFirst()
+                .orElse(allowed);
+    }
+
+    private CallTemplate unmatched(CallerRequest request) {
+        String name = request.header("Damaskmoor-Caller");
+        CallerName caller = new CallerName(name.isEmpty() ? "unknown" : name);
+        return new CallTemplate(
+                NO_SERVICE, caller, Call.getDefaultInstance(), request.arrivalNanoseconds());
+    }
+
+    private void refuse(
+            CallTemplate template, RefusalReason reason, Consumer<CallerReply> reply) {
+        environment.refuse(template, reason, 0, reply);
+    }
+
+    private Optional<EntryExchange> find(org.damaskmoor.schema.mesh.RequestId id) {
+        boolean ours =
+                id.getEntryNode().equals(self.value())
+                        && id.getEntryIncarnation() == incarnation.value();
+        return ours ? Optional.ofNullable(exchanges.get(id.getSequence())) : Optional.empty();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/EntryExchange.java
@@ -0,0 +1,286 @@
+package org.damaskmoor.node.internal.entry;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.core.id.RequestId;
+import org.damaskmoor.core.once.AttemptId;
+import org.damaskmoor.core.once.CallTarget;
+import org.damaskmoor.core.once.EntryAction;
+import org.damaskmoor.core.once.EntryCall;
+import org.damaskmoor.core.routing.Choice;
+import org.damaskmoor.core.routing.RequestView;
+import org.damaskmoor.node.internal.http.CallerReply;
+import org.damaskmoor.node.internal.http.OutcomeReplies;
+import org.damaskmoor.node.internal.time.Timers;
+import org.damaskmoor.schema.mesh.CallAnswer;
+import org.damaskmoor.schema.mesh.CallFailed;
+import org.damaskmoor.schema.mesh.CallRefused;
+import org.damaskmoor.schema.mesh.MeshFrame;
+import org.damaskmoor.schema.mesh.RefusalReason;
+import org.damaskmoor.schema.mesh.SealState;
+
+/**
+ * One request of a caller at its entry node, from its arrival to its reply.
+ *
+ * <p>Performs the actions of its {@link EntryCall}: chooses targets, sends and seals calls, runs the
+ * timers, and tells the router how each attempt ended.
+ *
+ * <p>Confined to the caller event loop. Invariant: the caller gets one reply, or none when it is
+ * gone.
+ */
+final class EntryExchange {
+    private final RequestId id;
+    private final CallTemplate template;
+    private final EntryCall call;
+    private final ServiceRuntime runtime;
+    private final EntryEnvironment environment;
+    private final Consumer<CallerReply> reply;
+    private final Map<Integer, SentAttempt> attempts = new HashMap<>();
+    private final Set<NodeId> tried = new HashSet<>();
+    private final Timers.Cancellation deadlineTimer;
+    private CallAnswer answer;
+    private boolean retryForbidden;
+    private int retryAfterMilliseconds;
+
+    EntryExchange(
+            RequestId id,
+            CallTemplate template,
+            ServiceRuntime runtime,
+            EntryEnvironment environment,
+            Consumer<CallerReply> reply) {
+        this.id = id;
+        this.template = template;
+        this.call = EntryCall.of(id, template.call().getNonIdempotent());
+        this.runtime = runtime;
+        this.environment = environment;
+        this.reply = reply;
+        this.deadlineTimer =
+                environment.timers().after(remainingMilliseconds(), () -> perform(call.deadline()));
+    }
+
+    void start() {
+        runtime.retryBudget().onRequest(environment.now());
+        perform(call.begin());
+        scheduleHedge();
+    }
+
+    RequestId id() {
+        return id;
+    }
+
+    boolean isFinished() {
+        return call.isFinished();
+    }
+
+    void onAccepted(int attempt) {
+        sent(attempt).ifPresent(SentAttempt::stopTimer);
+        perform(call.accepted(attemptId(attempt)));
+    }
+
+    void onAnswer(CallAnswer received) {
+        int attempt = received.getAttempt();
+        sent(attempt)
+                .ifPresent(
+                        ended ->
+                                ended.endAnswered(
+                                        runtime, received.getLoad(), received.getStatus()));
+        answer = received;
+        perform(call.answered(attemptId(attempt)));
+    }
+
+    void onRefused(CallRefused received) {
+        int attempt = received.getAttempt();
+        sent(attempt).ifPresent(ended -> ended.endRefused(runtime, received));
+        retryForbidden |= received.getRefusedBelow();
+        retryAfterMilliseconds = received.getRetryAfterMilliseconds();
+        perform(call.refused(attemptId(attempt), received.getReason()));
+    }
+
+    void onFailed(CallFailed received) {
+        sent(received.getAttempt()).ifPresent(ended -> ended.endFailed(runtime));
+        perform(call.failed(attemptId(received.getAttempt())));
+    }
+
+    void onSealResult(int attempt, SealState state) {
+        sent(attempt).ifPresent(SentAttempt::stopTimer);
+        perform(call.sealResult(attemptId(attempt), state));
+    }
+
+    void onCallUnsent(int attempt, RefusalReason reason) {
+        sent(attempt)
+                .ifPresent(
+                        ended -> {
+                            ended.endFailed(runtime);
+                            runtime.router().onUnreachable(ended.targetId(), environment.now());
+                        });
+        perform(call.notSent(attemptId(attempt), reason));
+    }
+
+    void onSealUnsent(int attempt) {
+        perform(call.sealTimeout(attemptId(attempt)));
+    }
+
+    /** A connection to the target is gone; attempts sent before the given time are in doubt. */
+    void onConnectionLost(NodeId target, long sentBeforeNanoseconds) {
+        for (SentAttempt attempt : List.copyOf(attempts.values())) {
+            boolean affected =
+                    attempt.targetId().node().equals(target)
+                            && !attempt.isEnded()
+                            && attempt.sentNanoseconds() < sentBeforeNanoseconds;
+            if (affected) {
+                attempt.stopTimer();
+                perform(call.connectionLost(attemptId(attempt.number())));
+            }
+        }
+    }
+
+    void onCallerGone() {
+        perform(call.callerGone());
+    }
+
+    private void perform(List<EntryAction> actions) {
+        for (EntryAction action : actions) {
+            perform(action);
+        }
+        if (call.isFinished()) {
+            release();
+        }
+    }
+
+    private void perform(EntryAction action) {
+        if (action instanceof EntryAction.Send send) {
+            send(send.attempt());
+        } else if (action instanceof EntryAction.Seal seal) {
+            seal(seal.attempt(), seal.target());
+        } else if (action instanceof EntryAction.Cancel cancel) {
+            cancel(cancel.attempt(), cancel.target());
+        } else if (action instanceof EntryAction.AnswerCaller) {
+            answerCaller();
+        } else if (action instanceof EntryAction.RefuseCaller refuse) {
+            environment.refuse(template, refuse.reason(), retryAfterMilliseconds, reply);
+        } else if (action instanceof EntryAction.UnknownToCaller unknown) {
+            environment.noteUnknown(template, unknown.step(), unknown.peer());
+            reply.accept(
+                    OutcomeReplies.unknown(unknown.step().wireName(), unknown.peer().value()));
+        }
+    }
+
+    private void send(AttemptId attempt) {
+        if (attempt.attempt() > 1 && !mayRetry()) {
+            perform(call.noTarget(attempt, RefusalReason.RETRY_BUDGET_EMPTY));
+            return;
+        }
+        Optional<Choice> choice = choose();
+        if (choice.isEmpty()) {
+            perform(call.noTarget(attempt, RefusalReason.NO_UPSTREAM));
+            return;
+        }
+        CallTarget target =
+                new CallTarget(
+                        choice.get().target().id().node(), choice.get().target().id().incarnation());
+        if (call.sent(attempt, target)) {
+            write(attempt, choice.get());
+        }
+    }
+
+    private boolean mayRetry() {
+        return !retryForbidden && runtime.retryBudget().tryRetry(environment.now());
+    }
+
+    private Optional<Choice> choose() {
+        long now = environment.now();
+        String key = template.call().getIdempotencyKey();
+        boolean byKey = template.call().getNonIdempotent() && !key.isEmpty();
+        if (byKey) {
+            return runtime.router().chooseForKey(key, tried, now);
+        }
+        RequestView view =
+                new RequestView(
+                        template.call().getNonIdempotent(), template.deadlineNanoseconds() - now);
+        return runtime.router().choose(view, tried, now);
+    }
+
+    private void write(AttemptId attempt, Choice choice) {
+        long now = environment.now();
+        SentAttempt sent = new SentAttempt(attempt.attempt(), choice, environment.clock());
+        attempts.put(attempt.attempt(), sent);
+        tried.add(choice.target().id().node());
+        runtime.router().onSent(choice.target().id(), now);
+        sent.startTimer(
+                environment.timers(),
+                environment.acceptanceTimeoutMilliseconds(),
+                () -> perform(call.acceptanceTimeout(attempt)));
+        environment.carrier().send(choice.target().id().node(), frame(attempt, choice));
+    }
+
+    private MeshFrame frame(AttemptId attempt, Choice choice) {
+        long reserve = TimeUnit.NANOSECONDS.toMillis(choice.distance().roundTripNanoseconds());
+        return MeshFrame.newBuilder()
+                .setCall(
+                        template.call().toBuilder()
+                                .setAttempt(attempt.attempt())
+                                .setTargetIncarnation(
+                                        choice.target().id().incarnation().value())
+                                .setDeadlineMilliseconds(
+                                        (int) Math.max(0, remainingMilliseconds() - reserve)))
+                .build();
+    }
+
+    private void seal(AttemptId attempt, CallTarget target) {
+        SentAttempt sent = attempts.get(attempt.attempt());
+        MeshFrame frame =
+                EntryFrames.seal(attempt, target, environment.keepMilliseconds(template));
+        environment
+                .carrier()
+                .sendOverNewerConnection(target.node(), frame, sent.sentNanoseconds());
+        sent.startTimer(
+                environment.timers(),
+                environment.acceptanceTimeoutMilliseconds(),
+                () -> perform(call.sealTimeout(attempt)));
+    }
+
+    private void cancel(AttemptId attempt, CallTarget target) {
+        environment.carrier().send(target.node(), EntryFrames.cancel(attempt));
+    }
+
+    private void answerCaller() {
+        reply.accept(
+                new CallerReply(answer.getStatus(), answer.getHeadersList(), answer.getBody()));
+        environment.noteAnswered(template, answer.getStatus());
+    }
+
+    private void scheduleHedge() {
+        if (template.call().getNonIdempotent()) {
+            return;
+        }
+        runtime.hedgeDelayMilliseconds()
+                .ifPresent(
+                        delay -> environment.timers().after(delay, () -> perform(call.hedge())));
+    }
+
+    private void release() {
+        deadlineTimer.cancel();
+        attempts.values().forEach(attempt -> attempt.abandon(runtime));
+        environment.finished(this);
+    }
+
+    private Optional<SentAttempt> sent(int attempt) {
+        return Optional.ofNullable(attempts.get(attempt));
+    }
+
+    private AttemptId attemptId(int attempt) {
+        return new AttemptId(id, attempt);
+    }
+
+    private long remainingMilliseconds() {
+        long remaining = template.deadlineNanoseconds() - environment.now();
+        return Math.max(0, TimeUnit.NANOSECONDS.toMillis(remaining));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/EntryFrames.java
@@ -0,0 +1,41 @@
+package org.damaskmoor.node.internal.entry;
+
+import org.damaskmoor.core.id.RequestId;
+import org.damaskmoor.core.once.AttemptId;
+import org.damaskmoor.core.once.CallTarget;
+import org.damaskmoor.schema.mesh.CancelCall;
+import org.damaskmoor.schema.mesh.MeshFrame;
+import org.damaskmoor.schema.mesh.SealRequest;
+
+/** Makes the frames that an entry node sends about a call. Stateless and thread-safe. */
+final class EntryFrames {
+    private EntryFrames() {}
+
+    static MeshFrame seal(AttemptId attempt, CallTarget target, int keepMilliseconds) {
+        return MeshFrame.newBuilder()
+                .setSeal(
+                        SealRequest.newBuilder()
+                                .setRequestId(message(attempt.request()))
+                                .setAttempt(attempt.attempt())
+                                .setTargetIncarnation(target.incarnation().value())
+                                .setKeepMilliseconds(keepMilliseconds))
+                .build();
+    }
+
+    static MeshFrame cancel(AttemptId attempt) {
+        return MeshFrame.newBuilder()
+                .setCancel(
+                        CancelCall.newBuilder()
+                                .setRequestId(message(attempt.request()))
+                                .setAttempt(attempt.attempt()))
+                .build();
+    }
+
+    static org.damaskmoor.schema.mesh.RequestId message(RequestId id) {
+        return org.damaskmoor.schema.mesh.RequestId.newBuilder()
+                .setEntryNode(id.entryNode().value())
+                .setEntryIncarnation(id.entryIncarnation().value())
+                .setSequence(id.sequence())
+                .build();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/SentAttempt.java
@@ -0,0 +1,103 @@
+package org.damaskmoor.node.internal.entry;
+
+import java.util.function.LongSupplier;
+import org.damaskmoor.core.routing.Choice;
+import org.damaskmoor.core.routing.TargetId;
+import org.damaskmoor.node.internal.time.Timers;
+import org.damaskmoor.schema.mesh.CallRefused;
+import org.damaskmoor.schema.mesh.LoadReport;
+
+/**
+ * One attempt that was sent: its target, its timer, and what the router was told of it.
+ *
+ * <p>Confined to the caller event loop. Invariant: the router is told of one end of the attempt.
+ */
+final class SentAttempt {
+    private static final int FIRST_SERVER_ERROR = 500;
+
+    private final int number;
+    private final Choice choice;
+    private final LongSupplier clock;
+    private final long sentNanoseconds;
+    private Timers.Cancellation timer = () -> {};
+    private boolean ended;
+
+    SentAttempt(int number, Choice choice, LongSupplier clock) {
+        this.number = number;
+        this.choice = choice;
+        this.clock = clock;
+        this.sentNanoseconds = clock.getAsLong();
+    }
+
+    int number() {
+        return number;
+    }
+
+    TargetId targetId() {
+        return choice.target().id();
+    }
+
+    long sentNanoseconds() {
+        return sentNanoseconds;
+    }
+
+    boolean isEnded() {
+        return ended;
+    }
+
+    void startTimer(Timers timers, long delayMilliseconds, Runnable task) {
+        timer.cancel();
+        timer = timers.after(delayMilliseconds, task);
+    }
+
+    void stopTimer() {
+        timer.cancel();
+    }
+
+    void endAnswered(ServiceRuntime runtime, LoadReport load, int status) {
+        if (end()) {
+            runtime.onLatency(elapsed());
+            if (status >= FIRST_SERVER_ERROR) {
+                runtime.router().onLoadHeard(targetId(), load, clock.getAsLong());
+                runtime.router().onFailed(targetId(), elapsed(), clock.getAsLong());
+            } else {
+                runtime.router().onAnswered(targetId(), elapsed(), load, clock.getAsLong());
+            }
+        }
+    }
+
+    void endRefused(ServiceRuntime runtime, CallRefused refused) {
+        if (end()) {
+            runtime.router()
+                    .onRefused(
+                            targetId(),
+                            elapsed(),
+                            refused.getReason(),
+                            refused.getLoad(),
+                            clock.getAsLong());
+        }
+    }
+
+    void endFailed(ServiceRuntime runtime) {
+        if (end()) {
+            runtime.router().onFailed(targetId(), elapsed(), clock.getAsLong());
+        }
+    }
+
+    void abandon(ServiceRuntime runtime) {
+        if (end()) {
+            runtime.router().onAbandoned(targetId(), elapsed(), clock.getAsLong());
+        }
+    }
+
+    private boolean end() {
+        stopTimer();
+        boolean first = !ended;
+        ended = true;
+        return first;
+    }
+
+    private long elapsed() {
+        return clock.getAsLong() - sentNanoseconds;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/damaskmoor/node/internal/http/CallerRequest.java
@@ -0,0 +1,47 @@
+package org.damaskmoor.node.internal.http;
+
+import com.google.protobuf.ByteString;
+import java.net.InetAddress;
+import java.util.List;
+import java.util.Locale;
+import org.damaskmoor.schema.mesh.HeaderField;
+
+/**
+ * A whole request as a caller sent it, hop-by-hop fields removed. Immutable and thread-safe.
+ *
+ * @param method the HTTP method
+ * @param path the path without query
+ * @param target path and query as sent
+ * @param host the Host field without port, in lower case
+ * @param headers the end-to-end fields, in order
+ * @param body the whole body
+ * @param remote the address the connection came from
+ * @param arrivalNanoseconds when the request was whole, on the monotonic clock
+ */
+public record CallerRequest(
+        String method,
+        String path,
+        String target,
+        String host,
+        List<HeaderField> headers,
+        ByteString body,
+        InetAddress remote,
+        long arrivalNanoseconds) {
+
+    /** The first value of a field, or an empty text. */
+    public String header(String name) {
+        for (HeaderField field : headers) {
+            if (field.getName().equalsIgnoreCase(name)) {
+                return field.getValue();
+            }
+        }
+        return "";
+    }
+
+    /** The Host field without its port, in lower case. */
+    public static String hostWithoutPort(String hostField) {
+        int end = hostField.startsWith("[") ? hostField.indexOf(']') + 1 : hostField.indexOf(':');
+        String host = end > 0 ? hostField.substring(0, end) : hostField;
+        return host.toLowerCase(Locale.ROOT);
+    }
+}
