Keep the list of nodes by gossip: SWIM with Lifeguard

Ruled out: judging members of another region by probes over the paid link, for a cut would declare them all dead; so only a region judges its own members, and a few members chosen by hash probe another region and tell whether it answers at all.

--- /dev/null
+++ b/core/src/main/java/org/damaskmoor/core/membership/internal/Spread.java
@@ -0,0 +1,73 @@
+package org.damaskmoor.core.membership.internal;
+
+import com.google.protobuf.MessageLite;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import org.damaskmoor.schema.gossip.GossipMessage;
+import org.damaskmoor.schema.gossip.MemberRecord;
+import org.damaskmoor.schema.gossip.RegionOpinion;
+
+/**
+ * Where news goes: to the own region by every member, to another region only by the members that
+ * bridge to it, and of members only those of the own region.
+ *
+ * <p>Confined to the thread that drives the protocol.
+ */
+final class Spread {
+    private static final int SENDINGS_PER_DECADE = 4;
+    private static final int FEWEST_DECADES = 2;
+    private static final int SENDINGS_TO_OTHER_REGION = 2;
+
+    private final String ownRegion;
+    private final NewsQueue local = new NewsQueue();
+    private final Map<String, NewsQueue> remote = new HashMap<>();
+
+    Spread(String ownRegion) {
+        this.ownRegion = ownRegion;
+    }
+
+    void add(MessageLite content) {
+        local.add(content);
+        if (isForOtherRegions(content)) {
+            remote.values().forEach(queue -> queue.add(content));
+        }
+    }
+
+    private boolean isForOtherRegions(MessageLite content) {
+        if (content instanceof MemberRecord member) {
+            return member.getRegion().equals(ownRegion);
+        }
+        return !(content instanceof RegionOpinion);
+    }
+
+    /** Tells which regions this node bridges to from now on. */
+    void bridgeTo(Set<String> regions) {
+        remote.keySet().retainAll(regions);
+        regions.forEach(region -> remote.computeIfAbsent(region, name -> new NewsQueue()));
+    }
+
+    boolean hasNewsFor(String region) {
+        NewsQueue queue = queueFor(region);
+        return queue != null && !queue.isEmpty();
+    }
+
+    void fill(GossipMessage.Builder message, String region, int budgetBytes, int regionSize) {
+        NewsQueue queue = queueFor(region);
+        if (queue == null || queue.isEmpty()) {
+            return;
+        }
+        boolean own = region.equals(ownRegion);
+        queue.fill(
+                message, budgetBytes, own ? localSendings(regionSize) : SENDINGS_TO_OTHER_REGION);
+    }
+
+    private static int localSendings(int regionSize) {
+        double decades = Math.max(FEWEST_DECADES, Math.ceil(Math.log10(regionSize + 1.0)));
+        return SENDINGS_PER_DECADE * (int) decades;
+    }
+
+    private NewsQueue queueFor(String region) {
+        return region.equals(ownRegion) ? local : remote.get(region);
+    }
+}
