--- a/core/src/main/java/org/damaskmoor/core/once/Acceptance.java
+++ b/core/src/main/java/org/damaskmoor/core/once/Acceptance.java
@@ -11,7 +11,8 @@
  * <p>For {@link AcceptanceResult#DUPLICATE} and {@link AcceptanceResult#JOINED} the state tells
  * what to reply now: wait while it is queued or handed over, send {@code answer} when it is
  * answered (a failure when the answer is no longer kept), a failure when it failed, a refusal when
- * it was refused. Immutable and thread-safe.
+ * it was refused. Results that prove nothing carry the state {@code FAILED}. Immutable and
+ * thread-safe.
  *
  * @param result what became of the call
  * @param run the request whose outcome this call gets; its own id unless it joined another
--- a/core/src/main/java/org/damaskmoor/core/once/AcceptanceResult.java
+++ b/core/src/main/java/org/damaskmoor/core/once/AcceptanceResult.java
@@ -1,6 +1,11 @@
 package org.damaskmoor.core.once;
 
-/** What became of a call that reached its target. Immutable and thread-safe. */
+/**
+ * What became of a call that reached its target. Immutable and thread-safe.
+ *
+ * <p>{@link #WRONG_INCARNATION} and {@link #TOO_LATE} prove nothing; they must not be told to the
+ * entry as a truthful refusal.
+ */
 public enum AcceptanceResult {
     /** New: it is queued now. */
     ACCEPTED,
@@ -15,5 +20,7 @@
     /** The ledger has no room; the call has not run and never will here. */
     FULL,
     /** Its deadline passed on the way; it has not run and never will here. */
-    DEADLINE_PASSED
+    DEADLINE_PASSED,
+    /** It came after its keep-until time: it is not run, but an earlier copy may have run. */
+    TOO_LATE
 }
--- a/core/src/main/java/org/damaskmoor/core/once/TargetLedger.java
+++ b/core/src/main/java/org/damaskmoor/core/once/TargetLedger.java
@@ -26,6 +26,10 @@
  * call is refused, and a fence keeps later copies of it from running: request sequences of an entry
  * incarnation up to the refused one are refused until its keep-until time.
  *
+ * <p>All copies of a call and its seals must come with keep-until times that do not depend on when
+ * they arrive (made from a deadline that they carry, not from a remaining duration). A call or seal
+ * that comes after its own is not judged, because what was known of it may have been dropped.
+ *
  * <p>Times are nanoseconds of one monotonic clock. Not thread-safe: one thread owns a ledger.
  */
 public interface TargetLedger {
@@ -71,9 +75,14 @@
      * Stops a call for good unless it was handed over; an unknown call leaves a tombstone.
      *
      * @return {@code SEALED}: not run and never will; {@code HANDED_OVER}: its outcome follows or
-     *     is known as failed; {@code ANSWERED}; {@code OTHER_INCARNATION}: proves nothing
+     *     is known as failed; {@code ANSWERED}; {@code OTHER_INCARNATION}: proves nothing, also
+     *     when the keep-until time has passed and the call may have been dropped
      */
-    SealState seal(RequestId id, Incarnation targetIncarnation, long keepUntilNanoseconds);
+    SealState seal(
+            RequestId id,
+            Incarnation targetIncarnation,
+            long keepUntilNanoseconds,
+            long nowNanoseconds);
 
     /** Tells that the entry node no longer waits for a call. */
     CancelResult cancel(RequestId id);
--- a/core/src/main/java/org/damaskmoor/core/once/internal/BoundedTargetLedger.java
+++ b/core/src/main/java/org/damaskmoor/core/once/internal/BoundedTargetLedger.java
@@ -51,12 +51,15 @@
             long keepUntilNanoseconds,
             long nowNanoseconds) {
         if (!targetIncarnation.equals(ownIncarnation)) {
-            return notQueued(AcceptanceResult.WRONG_INCARNATION, key);
+            return notJudged(AcceptanceResult.WRONG_INCARNATION, key);
         }
         LedgerEntry known = entries.get(key.id());
         if (known != null) {
             return duplicate(known, keepUntilNanoseconds);
         }
+        if (keepUntilNanoseconds <= nowNanoseconds) {
+            return notJudged(AcceptanceResult.TOO_LATE, key);
+        }
         LedgerEntry run = key.idempotencyKey().map(runs::get).orElse(null);
         if (run != null) {
             return join(run, key, deadlineNanoseconds, keepUntilNanoseconds);
@@ -112,6 +115,10 @@
         return new Acceptance(result, key.id(), CallState.REFUSED, Optional.empty());
     }
 
+    private static Acceptance notJudged(AcceptanceResult result, CallKey key) {
+        return new Acceptance(result, key.id(), CallState.FAILED, Optional.empty());
+    }
+
     private static Acceptance acceptance(AcceptanceResult result, LedgerEntry entry) {
         return new Acceptance(result, entry.run.id, entry.visibleState(), entry.run.answer);
     }
@@ -172,11 +179,18 @@
     }
 
     @Override
-    public SealState seal(RequestId id, Incarnation targetIncarnation, long keepUntilNanoseconds) {
+    public SealState seal(
+            RequestId id,
+            Incarnation targetIncarnation,
+            long keepUntilNanoseconds,
+            long nowNanoseconds) {
         if (!targetIncarnation.equals(ownIncarnation)) {
             return SealState.OTHER_INCARNATION;
         }
         LedgerEntry entry = entries.get(id);
+        if (entry == null && keepUntilNanoseconds <= nowNanoseconds) {
+            return SealState.OTHER_INCARNATION;
+        }
         if (entry == null) {
             leaveTombstone(id, keepUntilNanoseconds);
             return SealState.SEALED;
