--- /dev/null
+++ b/node/src/main/java/org/damaskmoor/node/internal/members/JoinPoints.java
@@ -0,0 +1,119 @@
+package org.damaskmoor.node.internal.members;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
+import org.damaskmoor.platform.Row;
+import org.damaskmoor.platform.TableService;
+import org.damaskmoor.platform.WriteCondition;
+import org.damaskmoor.schema.gossip.MemberRecord;
+
+/**
+ * The rows of the table service by which a new node finds a first peer.
+ *
+ * <p>A data centre keeps a few rows; they are not renewed, only replaced when their node is gone,
+ * so that the table service carries no heartbeats.
+ *
+ * <p>Thread-safe.
+ */
+public final class JoinPoints {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final String TABLE = "join-points";
+    private static final int ROWS_FOR_EACH_DATA_CENTRE = 3;
+    private static final int MAXIMUM_ROWS = 200;
+
+    private final TableService tables;
+
+    public JoinPoints(TableService tables) {
+        this.tables = tables;
+    }
+
+    /** Reads the gossip addresses of the join points, without the node's own. */
+    public CompletableFuture<List<InetSocketAddress>> read(MemberRecord self) {
+        return tables.list(TABLE, "", "", MAXIMUM_ROWS).thenApply(rows -> addresses(rows, self));
+    }
+
+    /**
+     * Makes this node a join point of its data centre if too few of those written are members.
+     *
+     * @param self this node's record
+     * @param isMember whether a record's node is a member now
+     */
+    public CompletableFuture<Void> keep(MemberRecord self, Predicate<MemberRecord> isMember) {
+        return tables.list(TABLE, self.getDataCentre() + ".", "", MAXIMUM_ROWS)
+                .thenCompose(rows -> keep(self, isMember, rows))
+                .exceptionally(JoinPoints::logFailure);
+    }
+
+    private CompletableFuture<Void> keep(
+            MemberRecord self, Predicate<MemberRecord> isMember, List<Row> rows) {
+        int valid = 0;
+        List<Row> gone = new ArrayList<>();
+        Optional<Row> own = Optional.empty();
+        for (Row row : rows) {
+            MemberRecord record = parse(row).orElse(MemberRecord.getDefaultInstance());
+            if (record.getNodeId().equals(self.getNodeId())) {
+                own = Optional.of(row);
+            } else if (isMember.test(record)) {
+                valid++;
+            } else {
+                gone.add(row);
+            }
+        }
+        if (valid >= ROWS_FOR_EACH_DATA_CENTRE || isCurrent(own, self)) {
+            return CompletableFuture.completedFuture(null);
+        }
+        gone.forEach(row -> tables.delete(TABLE, row.key(), row.etag()));
+        return write(self, own);
+    }
+
+    private static boolean isCurrent(Optional<Row> own, MemberRecord self) {
+        return own.flatMap(JoinPoints::parse)
+                .filter(record -> record.getIncarnation() == self.getIncarnation())
+                .isPresent();
+    }
+
+    private CompletableFuture<Void> write(MemberRecord self, Optional<Row> own) {
+        WriteCondition condition =
+                own.map(row -> WriteCondition.matches(row.etag()))
+                        .orElseGet(WriteCondition::absent);
+        String key = self.getDataCentre() + "." + self.getNodeId();
+        return tables.put(TABLE, key, condition, self.toByteString()).thenApply(written -> null);
+    }
+
+    private static List<InetSocketAddress> addresses(List<Row> rows, MemberRecord self) {
+        List<InetSocketAddress> addresses = new ArrayList<>();
+        for (Row row : rows) {
+            parse(row)
+                    .filter(record -> !record.getNodeId().equals(self.getNodeId()))
+                    .map(
+                            record ->
+                                    new InetSocketAddress(
+                                            record.getAddress(), record.getGossipPort()))
+                    .ifPresent(addresses::add);
+        }
+        return addresses;
+    }
+
+    private static Optional<MemberRecord> parse(Row row) {
+        try {
+            return Optional.of(MemberRecord.parseFrom(row.value()));
+        } catch (InvalidProtocolBufferException unreadable) {
+            logger.atWarning().log(
+                    "event=join-point-unreadable step=read peer=table-service key=%s", row.key());
+            return Optional.empty();
+        }
+    }
+
+    private static Void logFailure(Throwable failure) {
+        logger.atInfo().log(
+                "event=join-point-not-kept step=write peer=table-service detail=%s",
+                failure.getMessage());
+        return null;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/damaskmoor/node/internal/metrics/MetricsText.java
@@ -0,0 +1,80 @@
+package org.damaskmoor.node.internal.metrics;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Snapshot;
+import com.codahale.metrics.Timer;
+import com.google.gson.JsonObject;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Writes all metrics as Prometheus text or JSON.
+ *
+ * <p>Thread-safe.
+ */
+public final class MetricsText {
+    private static final double NANOSECONDS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+
+    private final MetricRegistry registry;
+
+    public MetricsText(MetricRegistry registry) {
+        this.registry = registry;
+    }
+
+    /** The metrics in Prometheus' text format; times in seconds. */
+    public String prometheus() {
+        StringBuilder text = new StringBuilder();
+        registry.getCounters().forEach((name, counter) -> line(text, name, counter.getCount()));
+        registry.getMeters().forEach((name, meter) -> line(text, name, meter.getCount()));
+        registry.getGauges().forEach((name, gauge) -> line(text, name, gauge.getValue()));
+        registry.getTimers().forEach((name, timer) -> timer(text, name, timer));
+        return text.toString();
+    }
+
+    /** The metrics as one JSON object; times in seconds. */
+    public String json() {
+        JsonObject json = new JsonObject();
+        for (Map.Entry<String, Counter> entry : registry.getCounters().entrySet()) {
+            json.addProperty(entry.getKey(), entry.getValue().getCount());
+        }
+        for (Map.Entry<String, Meter> entry : registry.getMeters().entrySet()) {
+            json.addProperty(entry.getKey(), entry.getValue().getCount());
+        }
+        for (Map.Entry<String, Gauge> entry : registry.getGauges().entrySet()) {
+            json.addProperty(entry.getKey(), (Number) entry.getValue().getValue());
+        }
+        for (Map.Entry<String, Timer> entry : registry.getTimers().entrySet()) {
+            json.add(entry.getKey(), timer(entry.getValue()));
+        }
+        return json.toString();
+    }
+
+    private static void line(StringBuilder text, String name, Object value) {
+        text.append(name).append(' ').append(value).append('\n');
+    }
+
+    private static void timer(StringBuilder text, String name, Timer timer) {
+        Snapshot snapshot = timer.getSnapshot();
+        line(text, name + "_count", timer.getCount());
+        line(text, name + "{quantile=\"0.5\"}", seconds(snapshot.getMedian()));
+        line(text, name + "{quantile=\"0.99\"}", seconds(snapshot.get99thPercentile()));
+        line(text, name + "{quantile=\"0.999\"}", seconds(snapshot.get999thPercentile()));
+    }
+
+    private static JsonObject timer(Timer timer) {
+        Snapshot snapshot = timer.getSnapshot();
+        JsonObject json = new JsonObject();
+        json.addProperty("count", timer.getCount());
+        json.addProperty("p50", seconds(snapshot.getMedian()));
+        json.addProperty("p99", seconds(snapshot.get99thPercentile()));
+        json.addProperty("p999", seconds(snapshot.get999thPercentile()));
+        return json;
+    }
+
+    private static double seconds(double nanoseconds) {
+        return nanoseconds / NANOSECONDS_PER_SECOND;
+    }
+}
