Choose the target of a request by expected completion time

Cause: an entry node must choose among targets whose load it only knows late. Ruled out: own requests in flight alone (blind to other entries); letting stale load fade to zero, which draws every entry to the target not heard of for longest - it fades to the region's mean instead; fading the share of a failing upstream without a bound on the whole service. Change: Router with sampled choice over own in-flight, heard load discounted by age, service time and the mean age of what is out; failures weigh as time, squared; slow start; gradual ejection within ejected_percent; the paid link only when the region has no headroom, with hysteresis; rendezvous hashing of idempotency keys. StableHash for keys that nodes must agree on.

--- /dev/null
+++ b/core/src/main/java/org/damaskmoor/core/routing/internal/FailureRate.java
@@ -0,0 +1,40 @@
+package org.damaskmoor.core.routing.internal;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Share of recent attempts at one target that failed, forgotten with time.
+ *
+ * <p>Invariant: between 0 and 1. Not thread-safe.
+ */
+final class FailureRate {
+    private static final double NEWS_WEIGHT = 0.2;
+    private static final double HALF_LIFE_NANOSECONDS = TimeUnit.SECONDS.toNanos(1);
+    private static final double NEGLIGIBLE = 0.001;
+    private static final double LOG_OF_TWO = Math.log(2);
+
+    private double rate;
+    private long changedAtNanoseconds;
+
+    void succeeded(long now) {
+        change(0, now);
+    }
+
+    void failed(long now) {
+        change(1, now);
+    }
+
+    double at(long now) {
+        if (rate < NEGLIGIBLE) {
+            return 0;
+        }
+        double age = Math.max(0, now - changedAtNanoseconds);
+        return rate * Math.exp(-age / HALF_LIFE_NANOSECONDS * LOG_OF_TWO);
+    }
+
+    private void change(double outcome, long now) {
+        double current = at(now);
+        rate = current + NEWS_WEIGHT * (outcome - current);
+        changedAtNanoseconds = now;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/damaskmoor/core/routing/internal/HeardLoad.java
@@ -0,0 +1,76 @@
+package org.damaskmoor.core.routing.internal;
+
+import java.util.concurrent.TimeUnit;
+import org.damaskmoor.schema.mesh.LoadReport;
+
+/**
+ * The last load report of one target, discounted by its age towards the mean of its region.
+ *
+ * <p>Invariant: the limit is at least 1. Not thread-safe.
+ */
+final class HeardLoad {
+    /** Age at which half of the heard load counts. */
+    private static final double LOAD_HALF_AGE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(50);
+
+    /** Age at which half of the heard service time counts. */
+    private static final double LATENCY_HALF_AGE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(200);
+
+    private static final double NANOSECONDS_PER_MICROSECOND = 1000;
+
+    private final RegionPrior prior;
+    private int limit;
+    private double loadOfOthers;
+    private double latencyNanoseconds;
+    private double failureRate;
+    private long heardAtNanoseconds;
+    private boolean heard;
+
+    HeardLoad(RegionPrior prior, int capacity) {
+        this.prior = prior;
+        this.limit = capacity;
+    }
+
+    /** Takes over a report; one without a limit is empty and says nothing. */
+    void hear(LoadReport report, int ownInFlight, long now) {
+        if (report.getLimit() == 0) {
+            return;
+        }
+        limit = report.getLimit();
+        loadOfOthers = Math.max(0, report.getInFlight() + report.getQueued() - ownInFlight);
+        latencyNanoseconds = report.getLatencyMicroseconds() * NANOSECONDS_PER_MICROSECOND;
+        failureRate = report.getFailuresPerThousand() / 1000.0;
+        heardAtNanoseconds = now;
+        heard = true;
+        prior.learn(loadOfOthers / limit, latencyNanoseconds);
+    }
+
+    int limit() {
+        return limit;
+    }
+
+    double loadOfOthers(long now) {
+        double expected = prior.occupancyOfOthers() * limit;
+        return expected + weight(LOAD_HALF_AGE_NANOSECONDS, now) * (loadOfOthers - expected);
+    }
+
+    double latencyNanoseconds(long now) {
+        double expected = prior.latencyNanoseconds();
+        if (latencyNanoseconds <= 0) {
+            return expected;
+        }
+        return expected
+                + weight(LATENCY_HALF_AGE_NANOSECONDS, now) * (latencyNanoseconds - expected);
+    }
+
+    double failureRate(long now) {
+        return failureRate == 0 ? 0 : failureRate * weight(LATENCY_HALF_AGE_NANOSECONDS, now);
+    }
+
+    private double weight(double halfAge, long now) {
+        if (!heard) {
+            return 0;
+        }
+        double age = Math.max(0, now - heardAtNanoseconds);
+        return halfAge / (halfAge + age);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/damaskmoor/core/routing/internal/ServiceRouter.java
@@ -0,0 +1,253 @@
+package org.damaskmoor.core.routing.internal;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.damaskmoor.core.hash.StableHash;
+import org.damaskmoor.core.id.DataCentreName;
+import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.core.id.RegionName;
+import org.damaskmoor.core.load.RegionSummary;
+import org.damaskmoor.core.routing.Candidate;
+import org.damaskmoor.core.routing.CandidateWeight;
+import org.damaskmoor.core.routing.Choice;
+import org.damaskmoor.core.routing.ChoicePolicy;
+import org.damaskmoor.core.routing.Distance;
+import org.damaskmoor.core.routing.RequestView;
+import org.damaskmoor.core.routing.Router;
+import org.damaskmoor.core.routing.RoutingOptions;
+import org.damaskmoor.core.routing.Target;
+import org.damaskmoor.core.routing.TargetId;
+import org.damaskmoor.schema.mesh.LoadReport;
+import org.damaskmoor.schema.mesh.RefusalReason;
+
+/**
+ * The router of one service at one entry node. Hands the candidates to a {@link ChoicePolicy} and
+ * keeps what is known of each target.
+ *
+ * <p>Invariant: {@code states} holds exactly the targets of the last snapshot, and the sampler's
+ * two arrays hold the same, divided by region. Not thread-safe.
+ */
+public final class ServiceRouter implements Router {
+    private static final double FAILING_FROM_RATE = 0.5;
+
+    private final RegionName region;
+    private final DataCentreName dataCentre;
+    private final RoutingOptions options;
+    private final ChoicePolicy policy;
+    private final CandidateSampler sampler;
+    private final RegionHeadroom headroom = new RegionHeadroom();
+    private final Map<RegionName, RegionPrior> priors = new HashMap<>();
+    private Map<TargetId, TargetState> states = new HashMap<>();
+    private boolean targetsKnown;
+    private long choices;
+
+    public ServiceRouter(
+            RegionName region,
+            DataCentreName dataCentre,
+            RoutingOptions options,
+            ChoicePolicy policy,
+            RandomGenerator random) {
+        this.region = region;
+        this.dataCentre = dataCentre;
+        this.options = options;
+        this.policy = policy;
+        this.sampler = new CandidateSampler(random);
+    }
+
+    @Override
+    public void updateTargets(Collection<Target> targets, long now) {
+        Map<TargetId, TargetState> updated = new HashMap<>();
+        List<TargetState> near = new ArrayList<>();
+        List<TargetState> far = new ArrayList<>();
+        for (Target target : targets) {
+            TargetState state = stateFor(target, now);
+            if (updated.put(target.id(), state) == null) {
+                (state.distance() == Distance.REMOTE ? far : near).add(state);
+            }
+        }
+        states = updated;
+        targetsKnown = targetsKnown || !updated.isEmpty();
+        sampler.replace(near.toArray(new TargetState[0]), far.toArray(new TargetState[0]));
+        headroom.invalidate();
+    }
+
+    @Override
+    public Optional<Choice> choose(RequestView request, Set<NodeId> excluded, long now) {
+        headroom.refresh(sampler.region(), sampler.region().length, now);
+        boolean remoteInTime =
+                request.remainingNanoseconds() > Distance.REMOTE.roundTripNanoseconds();
+        sampler.start(excluded, headroom.gone(), remoteInTime, now);
+        Candidate chosen = policy.choose(sampler, now);
+        if (chosen == null) {
+            sampler.startLastResort();
+            chosen = policy.choose(sampler, now);
+        }
+        return chosen == null ? Optional.empty() : Optional.of(taken(chosen, now));
+    }
+
+    @Override
+    public Optional<Choice> chooseForKey(String key, Set<NodeId> excluded, long now) {
+        long keyHash = StableHash.of(key);
+        TargetState chosen = KeyPlacement.place(sampler.region(), keyHash, excluded);
+        if (chosen == null) {
+            chosen = KeyPlacement.place(sampler.remote(), keyHash, excluded);
+        }
+        return chosen == null ? Optional.empty() : Optional.of(taken(chosen, now));
+    }
+
+    @Override
+    public void onSent(TargetId target, long now) {
+        TargetState state = states.get(target);
+        if (state != null) {
+            state.sent(now);
+        }
+    }
+
+    @Override
+    public void onAnswered(TargetId target, long latency, LoadReport load, long now) {
+        TargetState state = states.get(target);
+        if (state != null) {
+            state.ended(latency, now);
+            state.succeeded(now);
+            state.hear(load, now);
+        }
+    }
+
+    @Override
+    public void onRefused(
+            TargetId target, long waited, RefusalReason reason, LoadReport load, long now) {
+        TargetState state = states.get(target);
+        if (state == null) {
+            return;
+        }
+        state.ended(waited, now);
+        switch (reason) {
+            case DRAINING, STALE_INCARNATION -> state.leaves();
+            case TARGET_UNREACHABLE -> state.unreachable(now);
+            case UPSTREAM_UNREACHABLE -> failed(state, now);
+            default -> state.hear(load, now);
+        }
+    }
+
+    @Override
+    public void onFailed(TargetId target, long waited, long now) {
+        TargetState state = states.get(target);
+        if (state != null) {
+            state.ended(waited, now);
+            failed(state, now);
+        }
+    }
+
+    @Override
+    public void onAbandoned(TargetId target, long waited, long now) {
+        TargetState state = states.get(target);
+        if (state != null) {
+            state.ended(waited, now);
+        }
+    }
+
+    @Override
+    public void onLoadHeard(TargetId target, LoadReport load, long now) {
+        TargetState state = states.get(target);
+        if (state != null) {
+            state.hear(load, now);
+        }
+    }
+
+    @Override
+    public void onSummaryHeard(RegionSummary summary, long now) {
+        if (!summary.region().equals(region)) {
+            double latency = TimeUnit.MICROSECONDS.toNanos(summary.latencyMicroseconds());
+            priorOf(summary.region()).replace(summary.occupancy(), latency);
+        }
+    }
+
+    @Override
+    public void onUnreachable(TargetId target, long now) {
+        TargetState state = states.get(target);
+        if (state != null) {
+            state.unreachable(now);
+        }
+    }
+
+    @Override
+    public List<CandidateWeight> explain(long now) {
+        List<CandidateWeight> weights = new ArrayList<>();
+        for (TargetState state : states.values()) {
+            weights.add(
+                    new CandidateWeight(
+                            state.target(),
+                            state.distance(),
+                            (long) state.expectedNanoseconds(now),
+                            state.expectedLoad(now),
+                            state.share(now),
+                            state.available(now)));
+        }
+        return weights;
+    }
+
+    @Override
+    public boolean regionHeadroomGone() {
+        return headroom.gone();
+    }
+
+    private Choice taken(Candidate candidate, long now) {
+        TargetState state = (TargetState) candidate;
+        state.chosen(++choices);
+        long expected = (long) state.expectedNanoseconds(now);
+        return new Choice(state.target(), state.distance(), expected);
+    }
+
+    /** Targets of the first snapshot are not cold: it is this node that is new, not they. */
+    private TargetState stateFor(Target target, long now) {
+        TargetState known = states.get(target.id());
+        if (known != null) {
+            known.update(target, now);
+            return known;
+        }
+        TargetState state =
+                new TargetState(
+                        target,
+                        distanceOf(target),
+                        priorOf(target.region()),
+                        options.slowStartNanoseconds());
+        if (targetsKnown) {
+            state.startCold(now);
+        }
+        return state;
+    }
+
+    private Distance distanceOf(Target target) {
+        if (!target.region().equals(region)) {
+            return Distance.REMOTE;
+        }
+        return target.dataCentre().equals(dataCentre) ? Distance.LOCAL : Distance.REGION;
+    }
+
+    private RegionPrior priorOf(RegionName name) {
+        return priors.computeIfAbsent(name, unused -> new RegionPrior());
+    }
+
+    private void failed(TargetState state, long now) {
+        state.failed(now);
+        if (state.failureRate(now) >= FAILING_FROM_RATE) {
+            state.eject(allowance(now), now);
+        }
+    }
+
+    /** What may still be ejected, in whole targets. */
+    private double allowance(long now) {
+        double ejected = 0;
+        for (TargetState state : states.values()) {
+            ejected += 1 - state.share(now);
+        }
+        return states.size() * options.ejectedPercent() / 100.0 - ejected;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/damaskmoor/core/routing/internal/TargetState.java
@@ -0,0 +1,211 @@
+package org.damaskmoor.core.routing.internal;
+
+import java.util.concurrent.TimeUnit;
+import org.damaskmoor.core.hash.StableHash;
+import org.damaskmoor.core.routing.Candidate;
+import org.damaskmoor.core.routing.Distance;
+import org.damaskmoor.core.routing.Target;
+import org.damaskmoor.schema.mesh.LoadReport;
+import org.damaskmoor.schema.mesh.UpstreamState;
+
+/**
+ * All that an entry node knows of one incarnation of a target.
+ *
+ * <p>Expected completion is the round trip, plus the service time for each turn of the queue, plus
+ * failures as time. Attempts that are out for long speak before any answer does: the estimate is
+ * never below their mean age. Not thread-safe.
+ */
+final class TargetState implements Candidate {
+    /** What a failure costs its caller: the time lost and the work of another attempt. */
+    private static final double FAILURE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(100);
+
+    /** The part of its limit that counts right after a cold start. */
+    private static final double LEAST_SLOW_START_SHARE = 0.1;
+
+    private final RegionPrior prior;
+    private final Distance distance;
+    private final HeardLoad heard;
+    private final FailureRate failures = new FailureRate();
+    private final EjectedShare ejected = new EjectedShare();
+    private final Reachability reachability = new Reachability();
+    private final long slowStartNanoseconds;
+    private final long hash;
+
+    private Target target;
+    private boolean leaving;
+    private boolean cold;
+    private long servingSinceNanoseconds;
+    private int ownInFlight;
+    private long sumOfSentNanoseconds;
+    private long lastChoice;
+
+    TargetState(Target target, Distance distance, RegionPrior prior, long slowStartNanoseconds) {
+        this.target = target;
+        this.distance = distance;
+        this.prior = prior;
+        this.slowStartNanoseconds = slowStartNanoseconds;
+        this.heard = new HeardLoad(prior, target.capacity());
+        this.hash = StableHash.of(target.id().node().value());
+    }
+
+    @Override
+    public Target target() {
+        return target;
+    }
+
+    @Override
+    public Distance distance() {
+        return distance;
+    }
+
+    @Override
+    public int ownInFlight() {
+        return ownInFlight;
+    }
+
+    @Override
+    public long lastChoice() {
+        return lastChoice;
+    }
+
+    @Override
+    public double expectedLoad(long now) {
+        return ownInFlight + heard.loadOfOthers(now);
+    }
+
+    @Override
+    public double expectedNanoseconds(long now) {
+        double occupancy = (expectedLoad(now) + 1) / (heard.limit() * slowStartShare(now));
+        double service = heard.latencyNanoseconds(now);
+        double completion = Math.max(service * Math.max(1, occupancy), meanAge(now));
+        return distance.roundTripNanoseconds()
+                + completion
+                + service * occupancy
+                + failureNanoseconds(now);
+    }
+
+    /** The hash of the node's name, by which keys are placed. */
+    long hash() {
+        return hash;
+    }
+
+    int limit() {
+        return heard.limit();
+    }
+
+    boolean takesNewWork() {
+        return !leaving && target.takesNewWork();
+    }
+
+    boolean available(long now) {
+        return takesNewWork() && reachability.reachable(now);
+    }
+
+    /** Part of its normal traffic that ejection leaves it. */
+    double share(long now) {
+        return ejected.at(now);
+    }
+
+    double failureRate(long now) {
+        return Math.max(failures.at(now), heard.failureRate(now));
+    }
+
+    void eject(double allowance, long now) {
+        ejected.reduce(allowance, now);
+    }
+
+    /** Takes over a newer record of the same incarnation. */
+    void update(Target newer, long now) {
+        boolean returned = newer.state() == UpstreamState.SERVING && !takesNewWork();
+        boolean warmed =
+                newer.state() == UpstreamState.SERVING && target.state() == UpstreamState.WARMING;
+        if (newer.state() != target.state()) {
+            leaving = false;
+        }
+        target = newer;
+        if ((returned || warmed) && !leaving) {
+            startCold(now);
+        }
+    }
+
+    void startCold(long now) {
+        cold = true;
+        servingSinceNanoseconds = now;
+    }
+
+    void chosen(long choice) {
+        lastChoice = choice;
+    }
+
+    void sent(long now) {
+        ownInFlight++;
+        sumOfSentNanoseconds += now;
+    }
+
+    void ended(long waited, long now) {
+        if (ownInFlight == 0) {
+            return;
+        }
+        ownInFlight--;
+        sumOfSentNanoseconds = ownInFlight == 0 ? 0 : sumOfSentNanoseconds - (now - waited);
+    }
+
+    void succeeded(long now) {
+        failures.succeeded(now);
+        ejected.succeeded(now);
+        reachability.heard();
+    }
+
+    void failed(long now) {
+        failures.failed(now);
+    }
+
+    void hear(LoadReport report, long now) {
+        reachability.heard();
+        heard.hear(report, ownInFlight, now);
+        if (report.getState() == UpstreamState.LEAVING) {
+            leaving = true;
+        }
+    }
+
+    void leaves() {
+        leaving = true;
+    }
+
+    void unreachable(long now) {
+        reachability.unreachable(now);
+    }
+
+    private double slowStartShare(long now) {
+        if (target.state() == UpstreamState.WARMING) {
+            return LEAST_SLOW_START_SHARE;
+        }
+        if (!cold) {
+            return 1;
+        }
+        double part = (double) (now - servingSinceNanoseconds) / slowStartNanoseconds;
+        if (part >= 1) {
+            cold = false;
+            return 1;
+        }
+        return Math.max(LEAST_SLOW_START_SHARE, part);
+    }
+
+    /** Mean age of own attempts; sums wrap around together, so that their difference is exact. */
+    private double meanAge(long now) {
+        if (ownInFlight == 0) {
+            return 0;
+        }
+        double age = (double) (ownInFlight * now - sumOfSentNanoseconds) / ownInFlight;
+        return Math.max(0, age - distance.roundTripNanoseconds());
+    }
+
+    /** Squared, so that a lone failure among many successes weighs little. */
+    private double failureNanoseconds(long now) {
+        double rate = failureRate(now);
+        if (rate == 0) {
+            return 0;
+        }
+        return rate * rate * Math.max(FAILURE_NANOSECONDS, 10 * prior.latencyNanoseconds());
+    }
+}
