Admit, queue or refuse beside the upstream

Cause: only the target knows the load of this instant, so it decides finally and can say "not run". Ruled out: counting a request's weight as slots (a weight above the slot count would never run; weight counts in the caller's share); a latency gradient without a floor, which noise collapses; refusing by past latency while the upstream is idle, which would lock everyone out after a slow spell. Change: AdmissionController with an adaptive limit bounded by slots and connections, a queue ordered by importance and deadline, shares between callers, displacement, drain, Retry-After from the work that waits. Found by test: the share of a caller was computed without the newcomer, so a lone caller that filled the queue was never over its share and nobody could displace it.

--- /dev/null
+++ b/core/src/main/java/org/damaskmoor/core/admission/internal/ServiceTime.java
@@ -0,0 +1,61 @@
+package org.damaskmoor.core.admission.internal;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.damaskmoor.core.admission.Admission;
+import org.damaskmoor.core.id.RequestId;
+
+/**
+ * Requests in flight, and the recent typical service time.
+ *
+ * <p>The typical time is never below the mean age of what is in flight, so that an upstream that
+ * has just become slow shows before its next answer. Not thread-safe.
+ */
+final class ServiceTime {
+    private static final double NEWS_WEIGHT = 0.1;
+
+    private final Map<RequestId, Flight> flights = new HashMap<>();
+    private double meanNanoseconds;
+    private long sumOfStartsNanoseconds;
+
+    private record Flight(Admission request, long startedAtNanoseconds) {}
+
+    int inFlight() {
+        return flights.size();
+    }
+
+    void started(Admission request, long now) {
+        flights.put(request.id(), new Flight(request, now));
+        sumOfStartsNanoseconds += now;
+    }
+
+    /** The request that ended, or null when it was not in flight. */
+    Admission ended(RequestId id) {
+        Flight flight = flights.remove(id);
+        if (flight == null) {
+            return null;
+        }
+        sumOfStartsNanoseconds -= flight.startedAtNanoseconds;
+        return flight.request;
+    }
+
+    void answered(long latencyNanoseconds) {
+        double weight = meanNanoseconds == 0 ? 1 : NEWS_WEIGHT;
+        meanNanoseconds += weight * (latencyNanoseconds - meanNanoseconds);
+    }
+
+    /** Mean of recent service times, or 0 when none is known. */
+    double meanNanoseconds() {
+        return meanNanoseconds;
+    }
+
+    /** The mean, or the mean age of what is in flight if that is more. */
+    double typicalNanoseconds(long now) {
+        int count = flights.size();
+        if (count == 0) {
+            return meanNanoseconds;
+        }
+        double age = (double) (count * now - sumOfStartsNanoseconds) / count;
+        return Math.max(meanNanoseconds, age);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/damaskmoor/core/admission/internal/UpstreamAdmission.java
@@ -0,0 +1,281 @@
+package org.damaskmoor.core.admission.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.damaskmoor.core.admission.Admission;
+import org.damaskmoor.core.admission.AdmissionController;
+import org.damaskmoor.core.admission.AdmissionOptions;
+import org.damaskmoor.core.admission.AdmissionOutcome;
+import org.damaskmoor.core.admission.NextAdmissions;
+import org.damaskmoor.core.admission.Offer;
+import org.damaskmoor.core.admission.Refusal;
+import org.damaskmoor.core.id.CallerName;
+import org.damaskmoor.core.id.RequestId;
+import org.damaskmoor.schema.mesh.LoadReport;
+import org.damaskmoor.schema.mesh.RefusalReason;
+import org.damaskmoor.schema.mesh.UpstreamState;
+
+/**
+ * Admission beside one upstream: a concurrency limit, a bounded queue, and shares between callers.
+ *
+ * <p>A request occupies one of the upstream's slots whatever its weight; its weight counts in its
+ * caller's share. Capacity is short while the queue is at least half full. Not thread-safe.
+ */
+public final class UpstreamAdmission implements AdmissionController {
+    /** A request expected to wait longer is better tried elsewhere. */
+    private static final long LONGEST_WAIT_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(500);
+
+    private static final double FAILURE_NEWS_WEIGHT = 0.1;
+    private static final long LEAST_RETRY_AFTER_MILLISECONDS = 10;
+    private static final long RETRY_AFTER_ABSENCE_MILLISECONDS = 1000;
+    private static final double PER_THOUSAND = 1000;
+
+    private final ConcurrencyLimit limit = new ConcurrencyLimit();
+    private final WaitingQueue queue = new WaitingQueue();
+    private final CallerShares shares = new CallerShares();
+    private final ServiceTime serviceTime = new ServiceTime();
+    private AdmissionOptions options;
+    private UpstreamState state = UpstreamState.ABSENT;
+    private int slots = 1;
+    private int connections = 1;
+    private boolean draining;
+    private double failureRate;
+    private long sequence;
+
+    public UpstreamAdmission(AdmissionOptions options) {
+        this.options = options;
+    }
+
+    @Override
+    public void configure(AdmissionOptions newOptions) {
+        options = newOptions;
+        limit.bound(maximum());
+    }
+
+    @Override
+    public void onUpstream(UpstreamState newState, int newSlots, int newConnections) {
+        state = newState;
+        if (newState != UpstreamState.ABSENT) {
+            slots = newSlots;
+            connections = newConnections;
+            limit.bound(maximum());
+        }
+    }
+
+    @Override
+    public void drain() {
+        draining = true;
+    }
+
+    @Override
+    public boolean idle() {
+        return queue.isEmpty() && serviceTime.inFlight() == 0;
+    }
+
+    @Override
+    public Offer offer(Admission request, long now) {
+        WaitingRequest waiting = new WaitingRequest(request, sequence++, now);
+        int ahead = queue.ahead(waiting);
+        RefusalReason reason = reasonAgainst(request, ahead, now);
+        if (reason != null) {
+            return new Offer.Refused(refusal(request, reason, now));
+        }
+        if (queue.isEmpty() && hasSlot()) {
+            shares.add(request);
+            serviceTime.started(request, now);
+            return new Offer.Admitted();
+        }
+        return queued(waiting, now);
+    }
+
+    @Override
+    public NextAdmissions next(long now) {
+        List<Refusal> refused = new ArrayList<>();
+        List<Admission> admitted = new ArrayList<>();
+        for (WaitingRequest waiting : queue.removeAll(each -> reasonWaiting(each, now) != null)) {
+            shares.remove(waiting.request());
+            refused.add(refusal(waiting.request(), reasonWaiting(waiting, now), now));
+        }
+        while (!queue.isEmpty() && hasSlot()) {
+            Admission request = queue.removeFirst().request();
+            serviceTime.started(request, now);
+            admitted.add(request);
+        }
+        return new NextAdmissions(admitted, refused);
+    }
+
+    @Override
+    public boolean cancel(RequestId id) {
+        WaitingRequest waiting = queue.remove(id);
+        if (waiting != null) {
+            shares.remove(waiting.request());
+        }
+        return waiting != null;
+    }
+
+    @Override
+    public void finished(RequestId id, long latency, AdmissionOutcome outcome, long now) {
+        int inFlight = serviceTime.inFlight();
+        Admission request = serviceTime.ended(id);
+        if (request == null) {
+            return;
+        }
+        shares.remove(request);
+        switch (outcome) {
+            case ANSWERED -> {
+                limit.answered(latency, inFlight);
+                serviceTime.answered(latency);
+                learnFailure(0);
+            }
+            case FAILED -> learnFailure(1);
+            case SHED -> limit.shed(now);
+            default -> {
+                // a cancelled request says nothing about the upstream
+            }
+        }
+    }
+
+    @Override
+    public LoadReport loadReport(long now) {
+        double microseconds = serviceTime.typicalNanoseconds(now) / 1000;
+        return LoadReport.newBuilder()
+                .setInFlight(serviceTime.inFlight())
+                .setQueued(queue.size())
+                .setLimit(limit.value())
+                .setLatencyMicroseconds((int) Math.min(Integer.MAX_VALUE, microseconds))
+                .setFailuresPerThousand((int) Math.round(failureRate * PER_THOUSAND))
+                .setState(draining ? UpstreamState.LEAVING : state)
+                .build();
+    }
+
+    private int maximum() {
+        int wanted = options.concurrencyLimit() > 0 ? options.concurrencyLimit() : slots;
+        return Math.min(wanted, connections);
+    }
+
+    private boolean hasSlot() {
+        return serviceTime.inFlight() < limit.value();
+    }
+
+    /** Why a request that has just come cannot be taken, or null. */
+    private RefusalReason reasonAgainst(Admission request, int ahead, long now) {
+        if (draining || state == UpstreamState.LEAVING) {
+            return RefusalReason.DRAINING;
+        }
+        if (state == UpstreamState.ABSENT) {
+            return RefusalReason.UPSTREAM_UNREACHABLE;
+        }
+        if (request.deadlineNanoseconds() - now <= 0) {
+            return RefusalReason.DEADLINE_PASSED;
+        }
+        double wait = waitNanoseconds(ahead);
+        if (wait + expectedServiceNanoseconds() > request.deadlineNanoseconds() - now) {
+            return RefusalReason.DEADLINE_TOO_SHORT;
+        }
+        if (wait > LONGEST_WAIT_NANOSECONDS) {
+            return RefusalReason.OVERLOADED;
+        }
+        if (capacityShort() && shares.over(request, options)) {
+            return RefusalReason.CALLER_OVER_SHARE;
+        }
+        return null;
+    }
+
+    /** Why a request that waits has waited in vain, or null. */
+    private RefusalReason reasonWaiting(WaitingRequest waiting, long now) {
+        if (state == UpstreamState.ABSENT) {
+            return RefusalReason.UPSTREAM_UNREACHABLE;
+        }
+        long remaining = waiting.request().deadlineNanoseconds() - now;
+        if (remaining <= 0) {
+            return RefusalReason.DEADLINE_PASSED;
+        }
+        if (remaining < expectedServiceNanoseconds()) {
+            return RefusalReason.DEADLINE_TOO_SHORT;
+        }
+        if (now - waiting.queuedAtNanoseconds() > 2 * LONGEST_WAIT_NANOSECONDS) {
+            return RefusalReason.OVERLOADED;
+        }
+        return null;
+    }
+
+    private Offer queued(WaitingRequest waiting, long now) {
+        List<Refusal> displaced = List.of();
+        if (queue.size() >= options.queueLimit()) {
+            Refusal refusal = displacedBy(waiting, now);
+            if (refusal == null) {
+                Refusal full = refusal(waiting.request(), RefusalReason.QUEUE_FULL, now);
+                return new Offer.Refused(full);
+            }
+            displaced = List.of(refusal);
+        }
+        shares.add(waiting.request());
+        queue.add(waiting);
+        return new Offer.Queued(displaced);
+    }
+
+    /** Makes room: first from less important requests, then from a caller over its share. */
+    private Refusal displacedBy(WaitingRequest waiting, long now) {
+        int importance = waiting.request().importance();
+        RefusalReason reason = RefusalReason.OVERLOADED;
+        WaitingRequest victim = queue.last(other -> other.request().importance() < importance);
+        if (victim == null) {
+            reason = RefusalReason.CALLER_OVER_SHARE;
+            victim = lastOfCallerOverShare(waiting.request());
+        }
+        if (victim == null) {
+            return null;
+        }
+        queue.remove(victim);
+        shares.remove(victim.request());
+        return refusal(victim.request(), reason, now);
+    }
+
+    private WaitingRequest lastOfCallerOverShare(Admission request) {
+        CallerName caller = shares.furthestOver(request, options);
+        if (request.caller().equals(caller)) {
+            return null;
+        }
+        return queue.last(
+                other ->
+                        other.request().caller().equals(caller)
+                                && other.request().importance() <= request.importance());
+    }
+
+    private boolean capacityShort() {
+        return queue.size() > 0 && 2 * queue.size() >= options.queueLimit();
+    }
+
+    /** An idle upstream always gets a request, so that a mean from worse times is unlearnt. */
+    private double expectedServiceNanoseconds() {
+        return serviceTime.inFlight() == 0 ? 0 : serviceTime.meanNanoseconds();
+    }
+
+    /** Time until a request with so many ahead of it is handed over. */
+    private double waitNanoseconds(int ahead) {
+        if (queue.isEmpty() && hasSlot()) {
+            return 0;
+        }
+        return (ahead + 1) * serviceTime.meanNanoseconds() / limit.value();
+    }
+
+    private Refusal refusal(Admission request, RefusalReason reason, long now) {
+        return new Refusal(request.id(), reason, retryAfterMilliseconds(now));
+    }
+
+    /** Time in which what waits here now should be done. */
+    private long retryAfterMilliseconds(long now) {
+        if (state == UpstreamState.ABSENT) {
+            return RETRY_AFTER_ABSENCE_MILLISECONDS;
+        }
+        double rounds = (double) (queue.size() + serviceTime.inFlight()) / limit.value();
+        double nanoseconds = rounds * serviceTime.typicalNanoseconds(now);
+        long milliseconds = TimeUnit.NANOSECONDS.toMillis((long) nanoseconds);
+        return Math.max(LEAST_RETRY_AFTER_MILLISECONDS, milliseconds);
+    }
+
+    private void learnFailure(double outcome) {
+        failureRate += FAILURE_NEWS_WEIGHT * (outcome - failureRate);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/damaskmoor/core/admission/internal/WaitingRequest.java
@@ -0,0 +1,28 @@
+package org.damaskmoor.core.admission.internal;
+
+import org.damaskmoor.core.admission.Admission;
+
+/**
+ * A request in the queue. Immutable and thread-safe.
+ *
+ * @param request the request
+ * @param sequence its place in the order of arrival
+ * @param queuedAtNanoseconds when it came
+ */
+record WaitingRequest(Admission request, long sequence, long queuedAtNanoseconds)
+        implements Comparable<WaitingRequest> {
+
+    /** Greater goes first: the more important, then the earlier deadline, then the earlier. */
+    @Override
+    public int compareTo(WaitingRequest other) {
+        int byImportance = Integer.compare(request.importance(), other.request.importance());
+        if (byImportance != 0) {
+            return byImportance;
+        }
+        long laterDeadline = other.request.deadlineNanoseconds() - request.deadlineNanoseconds();
+        if (laterDeadline != 0) {
+            return Long.signum(laterDeadline);
+        }
+        return Long.compare(other.sequence, sequence);
+    }
+}
