--- /dev/null
+++ b/bench/src/main/java/org/damaskmoor/bench/http/Fields.java
@@ -0,0 +1,20 @@
+package org.damaskmoor.bench.http;
+
+import io.activej.http.HttpHeader;
+import io.activej.http.HttpHeaders;
+
+/** HTTP fields that the stand-ins and the callers use. Constants only. */
+public final class Fields {
+    public static final HttpHeader NONCE = HttpHeaders.of("Nonce");
+    public static final HttpHeader OUTCOME = HttpHeaders.of("Damaskmoor-Outcome");
+    public static final HttpHeader CALLER = HttpHeaders.of("Damaskmoor-Caller");
+    public static final HttpHeader DEADLINE_MILLISECONDS = HttpHeaders.of("Damaskmoor-Deadline-Ms");
+    public static final HttpHeader IDEMPOTENCY_KEY = HttpHeaders.of("Idempotency-Key");
+    public static final HttpHeader E_TAG = HttpHeaders.of("ETag");
+    public static final HttpHeader IF_MATCH = HttpHeaders.of("If-Match");
+    public static final HttpHeader IF_NONE_MATCH = HttpHeaders.of("If-None-Match");
+    public static final String NOT_RUN = "not-run";
+    public static final String UNKNOWN = "unknown";
+
+    private Fields() {}
+}
