--- a/node/src/main/java/org/damaskmoor/node/internal/entry/CallTemplate.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/CallTemplate.java
@@ -12,7 +12,12 @@
  * @param service the service it is for
  * @param caller who sent it
  * @param call the call without attempt, target incarnation and deadline
+ * @param arrivalNanoseconds when the request was whole, on the monotonic clock
  * @param deadlineNanoseconds when the caller's patience ends, on the monotonic clock
  */
 public record CallTemplate(
-        ServiceName service, CallerName caller, Call call, long deadlineNanoseconds) {}
+        ServiceName service,
+        CallerName caller,
+        Call call,
+        long arrivalNanoseconds,
+        long deadlineNanoseconds) {}
--- a/node/src/main/java/org/damaskmoor/node/internal/entry/EntryDispatcher.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/EntryDispatcher.java
@@ -109,6 +109,7 @@
                         NO_SERVICE,
                         new CallerName(caller),
                         Call.getDefaultInstance(),
+                        environment.now(),
                         environment.now()),
                 reason,
                 reply);
@@ -199,7 +200,8 @@
         long deadline =
                 request.arrivalNanoseconds()
                         + TimeUnit.MILLISECONDS.toNanos(timeoutMilliseconds(request, matched));
-        return new CallTemplate(matched.service(), matched.caller(), call, deadline);
+        return new CallTemplate(
+                matched.service(), matched.caller(), call, request.arrivalNanoseconds(), deadline);
     }
 
     private long timeoutMilliseconds(CallerRequest request, MatchedRequest matched) {
@@ -216,12 +218,11 @@
     private CallTemplate unmatched(CallerRequest request) {
         String name = request.header("Damaskmoor-Caller");
         CallerName caller = new CallerName(name.isEmpty() ? "unknown" : name);
-        return new CallTemplate(
-                NO_SERVICE, caller, Call.getDefaultInstance(), request.arrivalNanoseconds());
+        long arrival = request.arrivalNanoseconds();
+        return new CallTemplate(NO_SERVICE, caller, Call.getDefaultInstance(), arrival, arrival);
     }
 
-    private void refuse(
-            CallTemplate template, RefusalReason reason, Consumer<CallerReply> reply) {
+    private void refuse(CallTemplate template, RefusalReason reason, Consumer<CallerReply> reply) {
         environment.refuse(template, reason, 0, reply);
     }
 
--- a/node/src/main/java/org/damaskmoor/node/internal/entry/EntryExchange.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/EntryExchange.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -14,8 +15,10 @@
 import org.damaskmoor.core.once.CallTarget;
 import org.damaskmoor.core.once.EntryAction;
 import org.damaskmoor.core.once.EntryCall;
+import org.damaskmoor.core.retry.DeadlineBudget;
 import org.damaskmoor.core.routing.Choice;
 import org.damaskmoor.core.routing.RequestView;
+import org.damaskmoor.core.routing.TargetId;
 import org.damaskmoor.node.internal.http.CallerReply;
 import org.damaskmoor.node.internal.http.OutcomeReplies;
 import org.damaskmoor.node.internal.time.Timers;
@@ -29,8 +32,8 @@
 /**
  * One request of a caller at its entry node, from its arrival to its reply.
  *
- * <p>Performs the actions of its {@link EntryCall}: chooses targets, sends and seals calls, runs the
- * timers, and tells the router how each attempt ended.
+ * <p>Performs the actions of its {@link EntryCall}: chooses targets, sends and seals calls, runs
+ * the timers, and tells the router how each attempt ended.
  *
  * <p>Confined to the caller event loop. Invariant: the caller gets one reply, or none when it is
  * gone.
@@ -45,8 +48,9 @@
     private final Map<Integer, SentAttempt> attempts = new HashMap<>();
     private final Set<NodeId> tried = new HashSet<>();
     private final Timers.Cancellation deadlineTimer;
+    private Timers.Cancellation hedgeTimer = () -> {};
     private CallAnswer answer;
-    private boolean retryForbidden;
+    private final RetryDecision retry;
     private int retryAfterMilliseconds;
 
     EntryExchange(
@@ -61,6 +65,7 @@
         this.runtime = runtime;
         this.environment = environment;
         this.reply = reply;
+        this.retry = new RetryDecision(runtime.retryBudget(), template.call().getNonIdempotent());
         this.deadlineTimer =
                 environment.timers().after(remainingMilliseconds(), () -> perform(call.deadline()));
     }
@@ -98,18 +103,20 @@
     void onRefused(CallRefused received) {
         int attempt = received.getAttempt();
         sent(attempt).ifPresent(ended -> ended.endRefused(runtime, received));
-        retryForbidden |= received.getRefusedBelow();
+        retry.afterRefusal(received.getReason(), received.getRefusedBelow());
         retryAfterMilliseconds = received.getRetryAfterMilliseconds();
         perform(call.refused(attemptId(attempt), received.getReason()));
     }
 
     void onFailed(CallFailed received) {
         sent(received.getAttempt()).ifPresent(ended -> ended.endFailed(runtime));
+        retry.afterFailure();
         perform(call.failed(attemptId(received.getAttempt())));
     }
 
     void onSealResult(int attempt, SealState state) {
         sent(attempt).ifPresent(SentAttempt::stopTimer);
+        retry.afterRefusal(RefusalReason.SEALED_AFTER_SILENCE, false);
         perform(call.sealResult(attemptId(attempt), state));
     }
 
@@ -120,6 +127,7 @@
                             ended.endFailed(runtime);
                             runtime.router().onUnreachable(ended.targetId(), environment.now());
                         });
+        retry.afterRefusal(reason, false);
         perform(call.notSent(attemptId(attempt), reason));
     }
 
@@ -167,33 +175,27 @@
             environment.refuse(template, refuse.reason(), retryAfterMilliseconds, reply);
         } else if (action instanceof EntryAction.UnknownToCaller unknown) {
             environment.noteUnknown(template, unknown.step(), unknown.peer());
-            reply.accept(
-                    OutcomeReplies.unknown(unknown.step().wireName(), unknown.peer().value()));
+            reply.accept(OutcomeReplies.unknown(unknown.step().wireName(), unknown.peer().value()));
         }
     }
 
     private void send(AttemptId attempt) {
-        if (attempt.attempt() > 1 && !mayRetry()) {
-            perform(call.noTarget(attempt, RefusalReason.RETRY_BUDGET_EMPTY));
+        long now = environment.now();
+        if (attempt.attempt() > 1 && !retry.allows(attempt.attempt(), remaining(), now)) {
+            perform(call.noTarget(attempt, retry.reason()));
             return;
         }
         Optional<Choice> choice = choose();
         if (choice.isEmpty()) {
-            perform(call.noTarget(attempt, RefusalReason.NO_UPSTREAM));
+            perform(call.noTarget(attempt, retry.reason()));
             return;
         }
-        CallTarget target =
-                new CallTarget(
-                        choice.get().target().id().node(), choice.get().target().id().incarnation());
-        if (call.sent(attempt, target)) {
+        TargetId target = choice.get().target().id();
+        if (call.sent(attempt, new CallTarget(target.node(), target.incarnation()))) {
             write(attempt, choice.get());
         }
     }
 
-    private boolean mayRetry() {
-        return !retryForbidden && runtime.retryBudget().tryRetry(environment.now());
-    }
-
     private Optional<Choice> choose() {
         long now = environment.now();
         String key = template.call().getIdempotencyKey();
@@ -221,25 +223,20 @@
     }
 
     private MeshFrame frame(AttemptId attempt, Choice choice) {
-        long reserve = TimeUnit.NANOSECONDS.toMillis(choice.distance().roundTripNanoseconds());
+        DeadlineBudget left = remaining().minus(choice.distance().roundTripNanoseconds());
         return MeshFrame.newBuilder()
                 .setCall(
                         template.call().toBuilder()
                                 .setAttempt(attempt.attempt())
-                                .setTargetIncarnation(
-                                        choice.target().id().incarnation().value())
-                                .setDeadlineMilliseconds(
-                                        (int) Math.max(0, remainingMilliseconds() - reserve)))
+                                .setTargetIncarnation(choice.target().id().incarnation().value())
+                                .setDeadlineMilliseconds(left.toMilliseconds()))
                 .build();
     }
 
     private void seal(AttemptId attempt, CallTarget target) {
         SentAttempt sent = attempts.get(attempt.attempt());
-        MeshFrame frame =
-                EntryFrames.seal(attempt, target, environment.keepMilliseconds(template));
-        environment
-                .carrier()
-                .sendOverNewerConnection(target.node(), frame, sent.sentNanoseconds());
+        MeshFrame frame = EntryFrames.seal(attempt, target, environment.keepMilliseconds(template));
+        environment.carrier().sendOverNewerConnection(target.node(), frame, sent.sentNanoseconds());
         sent.startTimer(
                 environment.timers(),
                 environment.acceptanceTimeoutMilliseconds(),
@@ -257,16 +254,25 @@
     }
 
     private void scheduleHedge() {
-        if (template.call().getNonIdempotent()) {
-            return;
+        OptionalLong delay =
+                runtime.hedgePolicy()
+                        .delayNanoseconds(template.call().getNonIdempotent(), environment.now());
+        if (delay.isPresent()) {
+            long milliseconds = 1 + TimeUnit.NANOSECONDS.toMillis(delay.getAsLong());
+            hedgeTimer = environment.timers().after(milliseconds, this::hedge);
+        }
+    }
+
+    private void hedge() {
+        if (!call.isFinished() && runtime.hedgePolicy().tryHedge(environment.now())) {
+            retry.prepaid();
+            perform(call.hedge());
         }
-        runtime.hedgeDelayMilliseconds()
-                .ifPresent(
-                        delay -> environment.timers().after(delay, () -> perform(call.hedge())));
     }
 
     private void release() {
         deadlineTimer.cancel();
+        hedgeTimer.cancel();
         attempts.values().forEach(attempt -> attempt.abandon(runtime));
         environment.finished(this);
     }
@@ -280,7 +286,10 @@
     }
 
     private long remainingMilliseconds() {
-        long remaining = template.deadlineNanoseconds() - environment.now();
-        return Math.max(0, TimeUnit.NANOSECONDS.toMillis(remaining));
+        return remaining().toMilliseconds();
+    }
+
+    private DeadlineBudget remaining() {
+        return DeadlineBudget.until(template.deadlineNanoseconds(), environment.now());
     }
 }
--- a/node/src/main/java/org/damaskmoor/node/internal/entry/RefusalDetails.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/RefusalDetails.java
@@ -15,8 +15,7 @@
         return switch (reason) {
             case NOT_ALLOWED ->
                     "this caller may not use this path. Ask the operator to add it to the rule.";
-            case NO_UPSTREAM ->
-                    "no upstream takes requests now. Try again after the time given.";
+            case NO_UPSTREAM -> "no upstream takes requests now. Try again after the time given.";
             case QUEUE_FULL, OVERLOADED, NODE_BUSY ->
                     "more requests came than can be served. Try again after the time given.";
             case DEADLINE_TOO_SHORT ->
--- a/node/src/main/java/org/damaskmoor/node/internal/entry/SentAttempt.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/SentAttempt.java
@@ -56,7 +56,7 @@
 
     void endAnswered(ServiceRuntime runtime, LoadReport load, int status) {
         if (end()) {
-            runtime.onLatency(elapsed());
+            noteLatency(runtime);
             if (status >= FIRST_SERVER_ERROR) {
                 runtime.router().onLoadHeard(targetId(), load, clock.getAsLong());
                 runtime.router().onFailed(targetId(), elapsed(), clock.getAsLong());
@@ -90,6 +90,12 @@
         }
     }
 
+    private void noteLatency(ServiceRuntime runtime) {
+        if (number == 1) {
+            runtime.hedgePolicy().onAnswered(elapsed(), clock.getAsLong());
+        }
+    }
+
     private boolean end() {
         stopTimer();
         boolean first = !ended;
--- a/node/src/main/java/org/damaskmoor/node/internal/entry/ServiceRuntime.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/ServiceRuntime.java
@@ -1,43 +1,14 @@
 package org.damaskmoor.node.internal.entry;
 
-import java.util.OptionalLong;
-import java.util.concurrent.TimeUnit;
 import org.damaskmoor.core.retry.HedgePolicy;
 import org.damaskmoor.core.retry.RetryBudget;
 import org.damaskmoor.core.routing.Router;
 
 /**
- * What an entry node keeps for one service between requests.
+ * What an entry node keeps for one service between requests. Confined to the caller event loop.
  *
- * <p>Confined to the caller event loop.
+ * @param router chooses targets
+ * @param retryBudget bounds further attempts
+ * @param hedgePolicy decides when to send a second attempt
  */
-final class ServiceRuntime {
-    private final Router router;
-    private final RetryBudget retryBudget;
-    private final HedgePolicy hedgePolicy;
-
-    ServiceRuntime(Router router, RetryBudget retryBudget, HedgePolicy hedgePolicy) {
-        this.router = router;
-        this.retryBudget = retryBudget;
-        this.hedgePolicy = hedgePolicy;
-    }
-
-    Router router() {
-        return router;
-    }
-
-    RetryBudget retryBudget() {
-        return retryBudget;
-    }
-
-    void onLatency(long nanoseconds) {
-        hedgePolicy.onLatency(nanoseconds);
-    }
-
-    OptionalLong hedgeDelayMilliseconds() {
-        OptionalLong delay = hedgePolicy.delayNanoseconds();
-        return delay.isEmpty()
-                ? OptionalLong.empty()
-                : OptionalLong.of(1 + TimeUnit.NANOSECONDS.toMillis(delay.getAsLong()));
-    }
-}
+record ServiceRuntime(Router router, RetryBudget retryBudget, HedgePolicy hedgePolicy) {}
--- a/node/src/main/java/org/damaskmoor/node/internal/http/CallerServer.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/http/CallerServer.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.damaskmoor.schema.mesh.HeaderField;
 import org.damaskmoor.schema.mesh.RefusalReason;
 
 /**
@@ -142,7 +143,9 @@
 
     private HttpResponse response(CallerReply reply) {
         HttpResponse.Builder response = HttpResponse.ofCode(reply.status());
-        HeaderFields.addAll(response, reply.headers());
+        for (HeaderField field : reply.headers()) {
+            response.withHeader(HttpHeaders.of(field.getName()), field.getValue());
+        }
         if (stopping) {
             response.withHeader(HttpHeaders.CONNECTION, "close");
         }
--- a/node/src/main/java/org/damaskmoor/node/internal/http/HeaderFields.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/http/HeaderFields.java
@@ -51,13 +51,6 @@
         return fields;
     }
 
-    /** Adds fields to a message that is being built. */
-    public static void addAll(HttpMessage.Builder<?, ?> message, List<HeaderField> fields) {
-        for (HeaderField field : fields) {
-            message.withHeader(HttpHeaders.of(field.getName()), field.getValue());
-        }
-    }
-
     /** A field with the given name and value. */
     public static HeaderField field(String name, String value) {
         return HeaderField.newBuilder().setName(name).setValue(value).build();
--- a/node/src/main/java/org/damaskmoor/node/internal/members/MemberDirectory.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/members/MemberDirectory.java
@@ -77,8 +77,7 @@
         return member.getState() == MemberState.ALIVE || member.getState() == MemberState.SUSPECT;
     }
 
-    private static void addTarget(
-            Map<ServiceName, List<Target>> byService, MemberRecord member) {
+    private static void addTarget(Map<ServiceName, List<Target>> byService, MemberRecord member) {
         if (member.getService().isEmpty()) {
             return;
         }
@@ -93,8 +92,7 @@
                         state == null ? UpstreamState.ABSENT : state,
                         member.getCapacity());
         byService
-                .computeIfAbsent(
-                        new ServiceName(member.getService()), service -> new ArrayList<>())
+                .computeIfAbsent(new ServiceName(member.getService()), service -> new ArrayList<>())
                 .add(target);
     }
 
--- /dev/null
+++ b/node/src/main/java/org/damaskmoor/node/internal/metrics/NodeMetrics.java
@@ -0,0 +1,57 @@
+package org.damaskmoor.node.internal.metrics;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.core.once.CallStep;
+import org.damaskmoor.node.internal.entry.CallTemplate;
+import org.damaskmoor.node.internal.entry.OutcomeListener;
+import org.damaskmoor.node.internal.http.OutcomeReplies;
+import org.damaskmoor.schema.mesh.RefusalReason;
+
+/**
+ * Counts how requests end. Names and units stand in docs/OPERATORS.md.
+ *
+ * <p>Thread-safe.
+ */
+public final class NodeMetrics implements OutcomeListener {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+    private final MetricRegistry registry;
+    private final LongSupplier clock;
+
+    public NodeMetrics(MetricRegistry registry, LongSupplier clock) {
+        this.registry = registry;
+        this.clock = clock;
+    }
+
+    @Override
+    public void onAnswered(CallTemplate template, int status) {
+        registry.counter("damaskmoor_requests_answered_total").inc();
+        registry.timer("damaskmoor_request_seconds")
+                .update(clock.getAsLong() - template.arrivalNanoseconds(), TimeUnit.NANOSECONDS);
+    }
+
+    @Override
+    public void onRefused(CallTemplate template, RefusalReason reason) {
+        registry.counter("damaskmoor_requests_refused_total").inc();
+        registry.counter(
+                        "damaskmoor_requests_refused_total{reason=\""
+                                + OutcomeReplies.wireName(reason)
+                                + "\"}")
+                .inc();
+        logger.atInfo().log(
+                "event=request-refused service=%s caller=%s reason=%s",
+                template.service(), template.caller(), OutcomeReplies.wireName(reason));
+    }
+
+    @Override
+    public void onUnknown(CallTemplate template, CallStep step, NodeId peer) {
+        registry.counter("damaskmoor_requests_unknown_total").inc();
+        logger.atWarning().log(
+                "event=request-unknown service=%s caller=%s step=%s peer=%s",
+                template.service(), template.caller(), step.wireName(), peer);
+    }
+}
