--- /dev/null
+++ b/core/src/main/java/org/damaskmoor/core/configuration/internal/AddressRange.java
@@ -0,0 +1,97 @@
+package org.damaskmoor.core.configuration.internal;
+
+import java.net.InetAddress;
+import java.net.UnknownHostException;
+import java.util.Optional;
+import java.util.regex.Pattern;
+
+/**
+ * A range of IP addresses, for example {@code 10.0.0.0/8}.
+ *
+ * <p>Invariant: no bit beyond the prefix is set. Immutable and thread-safe.
+ */
+public final class AddressRange {
+    private static final Pattern FOUR_NUMBERS = Pattern.compile("(\\d{1,3}\\.){3}\\d{1,3}");
+    private static final Pattern HEXADECIMAL = Pattern.compile("[0-9a-fA-F:.]*:[0-9a-fA-F:.]*");
+    private static final Pattern LENGTH = Pattern.compile("\\d{1,3}");
+    private static final int IPV4_BYTES = 4;
+    private static final int MAPPED_PREFIX_BYTES = 12;
+
+    private final byte[] network;
+    private final int bits;
+
+    private AddressRange(byte[] network, int bits) {
+        this.network = network;
+        this.bits = bits;
+    }
+
+    /** Reads a range; empty when it is malformed. Never looks a name up. */
+    public static Optional<AddressRange> parse(String text) {
+        int slash = text.indexOf('/');
+        if (slash < 0 || !LENGTH.matcher(text.substring(slash + 1)).matches()) {
+            return Optional.empty();
+        }
+        int bits = Integer.parseInt(text.substring(slash + 1));
+        return parseAddress(text.substring(0, slash))
+                .filter(address -> bits <= address.length * Byte.SIZE)
+                .filter(address -> hasNoBitBeyond(address, bits))
+                .map(address -> new AddressRange(address, bits));
+    }
+
+    private static Optional<byte[]> parseAddress(String text) {
+        if (!FOUR_NUMBERS.matcher(text).matches() && !HEXADECIMAL.matcher(text).matches()) {
+            return Optional.empty();
+        }
+        try {
+            for (InetAddress address : InetAddress.getAllByName(text)) {
+                return Optional.of(address.getAddress());
+            }
+        } catch (UnknownHostException malformed) {
+            return Optional.empty();
+        }
+        return Optional.empty();
+    }
+
+    private static boolean hasNoBitBeyond(byte[] address, int bits) {
+        for (int bit = bits; bit < address.length * Byte.SIZE; bit++) {
+            if (bitOf(address, bit) != 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static int bitOf(byte[] address, int bit) {
+        return (address[bit / Byte.SIZE] >> (Byte.SIZE - 1 - bit % Byte.SIZE)) & 1;
+    }
+
+    /** Whether the address, 4 or 16 bytes long, lies in the range. */
+    public boolean contains(byte[] address) {
+        int offset = 0;
+        if (address.length != network.length) {
+            if (network.length != IPV4_BYTES || !isMapped(address)) {
+                return false;
+            }
+            offset = MAPPED_PREFIX_BYTES;
+        }
+        int whole = bits / Byte.SIZE;
+        for (int i = 0; i < whole; i++) {
+            if (address[offset + i] != network[i]) {
+                return false;
+            }
+        }
+        int rest = bits % Byte.SIZE;
+        return rest == 0
+                || ((address[offset + whole] ^ network[whole]) & (0xFF << (Byte.SIZE - rest))) == 0;
+    }
+
+    /** Whether 16 bytes stand for an IPv4 address. */
+    private static boolean isMapped(byte[] address) {
+        for (int i = 0; i < MAPPED_PREFIX_BYTES - 2; i++) {
+            if (address[i] != 0) {
+                return false;
+            }
+        }
+        return address[MAPPED_PREFIX_BYTES - 2] == -1 && address[MAPPED_PREFIX_BYTES - 1] == -1;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/damaskmoor/core/configuration/internal/CompiledTables.java
@@ -0,0 +1,59 @@
+package org.damaskmoor.core.configuration.internal;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import org.damaskmoor.core.configuration.MatchedService;
+import org.damaskmoor.schema.configuration.VersionedConfiguration;
+
+/** Services by host, by path prefix and by name. Immutable and thread-safe. */
+public final class CompiledTables {
+    private final TextTable<MatchedService> byHost;
+    private final TextTable<MatchedService> byPrefix;
+    private final Map<String, MatchedService> byName;
+
+    /** Tables of these services, by name. */
+    public CompiledTables(Map<String, VersionedConfiguration> services) {
+        Map<String, MatchedService> names = new HashMap<>();
+        Map<String, MatchedService> hosts = new HashMap<>();
+        Map<String, MatchedService> prefixes = new HashMap<>();
+        for (VersionedConfiguration versioned : new TreeMap<>(services).values()) {
+            CompiledService service = new CompiledService(versioned);
+            names.put(service.name(), service);
+            for (String host : versioned.getService().getHostsList()) {
+                hosts.putIfAbsent(HostNames.normalise(host), service);
+            }
+            for (String prefix : versioned.getService().getPathPrefixesList()) {
+                prefixes.putIfAbsent(prefix, service);
+            }
+        }
+        this.byName = Map.copyOf(names);
+        this.byHost = new TextTable<>(hosts, true);
+        this.byPrefix = new TextTable<>(prefixes, false);
+    }
+
+    /** The service that a Host field selects; null when none. */
+    public MatchedService findByHost(String host) {
+        return byHost.find(host, HostNames.endOf(host));
+    }
+
+    /** The service with the longest prefix that covers the path; null when none does. */
+    public MatchedService findByPath(String path) {
+        int end = Paths.endOf(path);
+        MatchedService longest = null;
+        int hash = 0;
+        for (int length = 1; length <= end; length++) {
+            hash = byPrefix.next(hash, path.charAt(length - 1));
+            if (Paths.isBoundary(path, length, end)) {
+                MatchedService found = byPrefix.find(path, length, hash);
+                longest = found != null ? found : longest;
+            }
+        }
+        return longest;
+    }
+
+    /** The service of this name; null when there is none. */
+    public MatchedService findByName(String service) {
+        return byName.get(service);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/damaskmoor/core/configuration/internal/Methods.java
@@ -0,0 +1,40 @@
+package org.damaskmoor.core.configuration.internal;
+
+import java.util.List;
+
+/** HTTP methods as bits of a mask. Without state, so thread-safe. */
+public final class Methods {
+    /** All methods that rules may name. */
+    public static final List<String> KNOWN =
+            List.of("GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS", "TRACE");
+
+    private static final int IDEMPOTENT =
+            maskOf(List.of("GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"));
+
+    private Methods() {}
+
+    /** Whether rules may name it. */
+    public static boolean isKnown(String method) {
+        return KNOWN.contains(method);
+    }
+
+    /** The bit of a method; 0 when it is unknown. */
+    static int bitOf(String method) {
+        int index = KNOWN.indexOf(method);
+        return index < 0 ? 0 : 1 << index;
+    }
+
+    /** The mask of a rule's methods; all bits when it names none. */
+    static int maskOf(List<String> methods) {
+        int mask = 0;
+        for (String method : methods) {
+            mask |= bitOf(method);
+        }
+        return methods.isEmpty() ? -1 : mask;
+    }
+
+    /** Whether a request that no rule matches is idempotent. */
+    static boolean isIdempotent(String method) {
+        return (bitOf(method) & IDEMPOTENT) != 0;
+    }
+}
