--- a/node/src/main/java/org/damaskmoor/node/internal/entry/EntryDispatcher.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/EntryDispatcher.java
@@ -37,6 +37,7 @@
     private final Function<MatchedRequest, ServiceRuntime> runtimes;
     private final EntryEnvironment environment;
     private final Map<Long, EntryExchange> exchanges = new HashMap<>();
+    private final LongSupplier epochMilliseconds;
     private long lastSequence;
 
     EntryDispatcher(
@@ -51,6 +52,7 @@
         this.limits = limits;
         this.matcher = matcher;
         this.runtimes = runtimes;
+        this.epochMilliseconds = parts.epochMilliseconds();
         this.environment =
                 new EntryEnvironment(
                         parts.clock(),
@@ -65,6 +67,7 @@
     /** What a dispatcher works with, from outside of it. Confined to the caller event loop. */
     record EntryParts(
             LongSupplier clock,
+            LongSupplier epochMilliseconds,
             Timers timers,
             TargetCarrier carrier,
             RefusalRecorder refusals,
@@ -180,6 +183,9 @@
     }
 
     private CallTemplate template(RequestId id, CallerRequest request, MatchedRequest matched) {
+        long patience = timeoutMilliseconds(request, matched);
+        long elapsed =
+                TimeUnit.NANOSECONDS.toMillis(environment.now() - request.arrivalNanoseconds());
         Call call =
                 Call.newBuilder()
                         .setRequestId(EntryFrames.message(id))
@@ -196,10 +202,11 @@
                         .setWeight(matched.weight())
                         .setImportance(matched.importance())
                         .setConfigurationVersion(matched.configurationVersion())
+                        .setDeadlineEpochMilliseconds(
+                                epochMilliseconds.getAsLong() + patience - elapsed)
                         .build();
         long deadline =
-                request.arrivalNanoseconds()
-                        + TimeUnit.MILLISECONDS.toNanos(timeoutMilliseconds(request, matched));
+                request.arrivalNanoseconds() + TimeUnit.MILLISECONDS.toNanos(patience);
         return new CallTemplate(
                 matched.service(), matched.caller(), call, request.arrivalNanoseconds(), deadline);
     }
--- a/node/src/main/java/org/damaskmoor/node/internal/entry/EntryEnvironment.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/EntryEnvironment.java
@@ -1,6 +1,5 @@
 package org.damaskmoor.node.internal.entry;
 
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.damaskmoor.core.id.NodeId;
@@ -29,20 +28,12 @@
         OutcomeListener outcomes,
         Consumer<EntryExchange> onFinished,
         long acceptanceTimeoutMilliseconds) {
-    /** How far clocks of two VMs may drift apart while a call is kept. */
-    private static final int CLOCK_SKEW_MILLISECONDS = 5_000;
-
     private static final int DEFAULT_RETRY_AFTER_MILLISECONDS = 1_000;
 
     long now() {
         return clock.getAsLong();
     }
 
-    int keepMilliseconds(CallTemplate template) {
-        long remaining = TimeUnit.NANOSECONDS.toMillis(template.deadlineNanoseconds() - now());
-        return (int) Math.max(0, remaining) + CLOCK_SKEW_MILLISECONDS;
-    }
-
     /** Accounts for a refusal, then tells the caller "not run". */
     void refuse(
             CallTemplate template,
--- a/node/src/main/java/org/damaskmoor/node/internal/entry/EntryFrames.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/EntryFrames.java
@@ -11,14 +11,14 @@
 final class EntryFrames {
     private EntryFrames() {}
 
-    static MeshFrame seal(AttemptId attempt, CallTarget target, int keepMilliseconds) {
+    static MeshFrame seal(AttemptId attempt, CallTarget target, long deadlineEpochMilliseconds) {
         return MeshFrame.newBuilder()
                 .setSeal(
                         SealRequest.newBuilder()
                                 .setRequestId(message(attempt.request()))
                                 .setAttempt(attempt.attempt())
                                 .setTargetIncarnation(target.incarnation().value())
-                                .setKeepMilliseconds(keepMilliseconds))
+                                .setDeadlineEpochMilliseconds(deadlineEpochMilliseconds))
                 .build();
     }
 
--- /dev/null
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/ServiceRuntimes.java
@@ -0,0 +1,134 @@
+package org.damaskmoor.node.internal.entry;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import org.damaskmoor.core.configuration.MatchedService;
+import org.damaskmoor.core.configuration.ServiceMatcher;
+import org.damaskmoor.core.id.DataCentreName;
+import org.damaskmoor.core.id.RegionName;
+import org.damaskmoor.core.id.ServiceName;
+import org.damaskmoor.core.retry.HedgePolicy;
+import org.damaskmoor.core.retry.RetryBudget;
+import org.damaskmoor.core.routing.ChoicePolicies;
+import org.damaskmoor.core.routing.ChoicePolicy;
+import org.damaskmoor.core.routing.Router;
+import org.damaskmoor.core.routing.RoutingOptions;
+import org.damaskmoor.node.internal.members.MemberDirectory;
+import org.damaskmoor.schema.configuration.ServiceConfiguration;
+
+/**
+ * The runtimes of the services that callers of this node use, made when first needed.
+ *
+ * <p>Confined to the caller event loop.
+ */
+public final class ServiceRuntimes {
+    private final RegionName region;
+    private final DataCentreName dataCentre;
+    private final RoutingDefaults defaults;
+    private final MemberDirectory members;
+    private final LongSupplier clock;
+    private final RandomGenerator random;
+    private final Map<ServiceName, ServiceRuntime> runtimes = new HashMap<>();
+    private ServiceMatcher matcher;
+
+    /**
+     * What holds for services that set nothing. Immutable and thread-safe.
+     *
+     * @param options how to route
+     * @param retryBudgetPercent further attempts as a share of requests
+     * @param policy how to choose among candidates, from the number that is sampled
+     */
+    public record RoutingDefaults(
+            RoutingOptions options, int retryBudgetPercent, ChoicePolicyFactory policy) {}
+
+    /** Makes the policy for a number of sampled candidates. */
+    @FunctionalInterface
+    public interface ChoicePolicyFactory {
+        /** What the product uses. */
+        ChoicePolicyFactory PRODUCT = ChoicePolicies::expectedCompletion;
+
+        /** The policy that weighs so many candidates. */
+        ChoicePolicy sampling(int candidates);
+    }
+
+    public ServiceRuntimes(
+            RegionName region,
+            DataCentreName dataCentre,
+            RoutingDefaults defaults,
+            MemberDirectory members,
+            LongSupplier clock,
+            RandomGenerator random,
+            ServiceMatcher matcher) {
+        this.region = region;
+        this.dataCentre = dataCentre;
+        this.defaults = defaults;
+        this.members = members;
+        this.clock = clock;
+        this.random = random;
+        this.matcher = matcher;
+    }
+
+    /** The runtime of a service. */
+    ServiceRuntime of(ServiceName service) {
+        return runtimes.computeIfAbsent(service, this::create);
+    }
+
+    /** The services in force. */
+    ServiceMatcher matcher() {
+        return matcher;
+    }
+
+    /** The configuration has changed: runtimes start anew where their policies did. */
+    public void onConfiguration(ServiceMatcher changed) {
+        ServiceMatcher former = matcher;
+        matcher = changed;
+        runtimes.keySet().removeIf(service -> policiesDiffer(former, changed, service));
+    }
+
+    /** The members have changed. */
+    public void onMembers() {
+        long now = clock.getAsLong();
+        runtimes.forEach(
+                (service, runtime) ->
+                        runtime.router().updateTargets(members.targets(service), now));
+    }
+
+    private static boolean policiesDiffer(
+            ServiceMatcher former, ServiceMatcher changed, ServiceName service) {
+        ServiceConfiguration before = configuration(former, service);
+        ServiceConfiguration after = configuration(changed, service);
+        return !before.getRouting().equals(after.getRouting())
+                || !before.getRetry().equals(after.getRetry());
+    }
+
+    private static ServiceConfiguration configuration(
+            ServiceMatcher matcher, ServiceName service) {
+        MatchedService matched = matcher.findByName(service.value());
+        return matched == null
+                ? ServiceConfiguration.getDefaultInstance()
+                : matched.configuration();
+    }
+
+    private ServiceRuntime create(ServiceName service) {
+        long now = clock.getAsLong();
+        ServiceConfiguration configuration = configuration(matcher, service);
+        RoutingOptions options =
+                RoutingOptions.of(configuration.getRouting(), defaults.options());
+        Router router =
+                Router.create(
+                        region,
+                        dataCentre,
+                        options,
+                        defaults.policy().sampling(options.sampledCandidates()),
+                        random);
+        router.updateTargets(members.targets(service), now);
+        int percent = configuration.getRetry().getBudgetPercent();
+        RetryBudget budget =
+                new RetryBudget(percent == 0 ? defaults.retryBudgetPercent() : percent, now);
+        HedgePolicy hedging =
+                new HedgePolicy(configuration.getRetry().getHedgePercentile(), budget, now);
+        return new ServiceRuntime(router, budget, hedging);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/damaskmoor/node/internal/members/MembershipDuty.java
@@ -0,0 +1,194 @@
+package org.damaskmoor.node.internal.members;
+
+import com.google.common.flogger.FluentLogger;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Executor;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.core.membership.DatagramSender;
+import org.damaskmoor.core.membership.GossipExtension;
+import org.damaskmoor.core.membership.MemberEvent;
+import org.damaskmoor.core.membership.MemberEvent.Kind;
+import org.damaskmoor.core.membership.MembershipProtocol;
+import org.damaskmoor.core.membership.MembershipSettings;
+import org.damaskmoor.schema.gossip.GossipMessage;
+import org.damaskmoor.schema.gossip.MemberRecord;
+import org.damaskmoor.schema.gossip.MemberState;
+
+/**
+ * Runs the membership protocol on the control event loop and publishes the members.
+ *
+ * <p>Confined to the control event loop.
+ */
+public final class MembershipDuty {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final long JOIN_RETRY_MILLISECONDS = 1_000;
+    private static final long JOIN_POINT_CHECK_MILLISECONDS = 15_000;
+
+    private final MembershipProtocol protocol;
+    private final JoinPoints joinPoints;
+    private final MemberDirectory directory;
+    private final MembershipListener listener;
+    private final Executor control;
+    private final LongSupplier milliseconds;
+    private final RandomGenerator random;
+    private boolean changed = true;
+    private long nextJoinMilliseconds;
+    private long nextCheckMilliseconds;
+
+    /** Told of what other duties need to know. Called on the control event loop. */
+    public interface MembershipListener {
+        /** The directory was published anew. */
+        void onPublished();
+
+        /** A member is dead or left. */
+        void onGone(MemberRecord member);
+
+        /** A later start of this node is known: this process must stop. */
+        void onSuperseded();
+    }
+
+    /**
+     * Creates the duty.
+     *
+     * @param self this node's record
+     * @param sender sends datagrams
+     * @param extension what rides on them
+     * @param joinPoints where first peers are found
+     * @param directory where members are published
+     * @param listener told of changes
+     * @param control runs tasks on the control event loop
+     * @param milliseconds a monotonic clock
+     * @param random chooses whom to probe
+     */
+    public MembershipDuty(
+            MemberRecord self,
+            DatagramSender sender,
+            GossipExtension extension,
+            JoinPoints joinPoints,
+            MemberDirectory directory,
+            MembershipListener listener,
+            Executor control,
+            LongSupplier milliseconds,
+            RandomGenerator random) {
+        this.joinPoints = joinPoints;
+        this.directory = directory;
+        this.listener = listener;
+        this.control = control;
+        this.milliseconds = milliseconds;
+        this.random = random;
+        this.protocol =
+                new MembershipProtocol(
+                        self,
+                        MembershipSettings.defaults(),
+                        sender,
+                        this::onEvent,
+                        extension,
+                        random,
+                        milliseconds.getAsLong());
+    }
+
+    /** The protocol, for what rides on it. */
+    public MembershipProtocol protocol() {
+        return protocol;
+    }
+
+    /** Takes in a datagram. */
+    public void receive(GossipMessage message, InetSocketAddress from) {
+        protocol.receive(message, from, milliseconds.getAsLong());
+        publishIfChanged();
+    }
+
+    /** Does what is due; call it every {@link MembershipProtocol#TICK_MILLISECONDS}. */
+    public void tick() {
+        long now = milliseconds.getAsLong();
+        protocol.tick(now);
+        if (!hasPeers() && now >= nextJoinMilliseconds) {
+            nextJoinMilliseconds = now + JOIN_RETRY_MILLISECONDS;
+            joinThroughTable();
+        }
+        if (now >= nextCheckMilliseconds) {
+            nextCheckMilliseconds =
+                    now + random.nextLong(1, 2 * JOIN_POINT_CHECK_MILLISECONDS);
+            joinPoints.keep(protocol.self(), this::isMember);
+        }
+        publishIfChanged();
+    }
+
+    /** Other members, those of the own data centre first, then those of the own region. */
+    public List<NodeId> nearestPeers() {
+        MemberRecord self = protocol.self();
+        List<MemberRecord> others = new ArrayList<>();
+        for (MemberRecord member : protocol.members()) {
+            boolean other = !member.getNodeId().equals(self.getNodeId());
+            if (other && member.getState() == MemberState.ALIVE) {
+                others.add(member);
+            }
+        }
+        others.sort(Comparator.comparingInt(member -> distance(member, self)));
+        return others.stream().map(member -> new NodeId(member.getNodeId())).toList();
+    }
+
+    private static int distance(MemberRecord member, MemberRecord self) {
+        if (member.getDataCentre().equals(self.getDataCentre())) {
+            return 0;
+        }
+        return member.getRegion().equals(self.getRegion()) ? 1 : 2;
+    }
+
+    private boolean hasPeers() {
+        return protocol.members().size() > 1;
+    }
+
+    private boolean isMember(MemberRecord record) {
+        return protocol.members().stream()
+                .anyMatch(
+                        member ->
+                                member.getNodeId().equals(record.getNodeId())
+                                        && member.getIncarnation() == record.getIncarnation()
+                                        && member.getState() == MemberState.ALIVE);
+    }
+
+    private void joinThroughTable() {
+        joinPoints
+                .read(protocol.self())
+                .thenAcceptAsync(
+                        addresses -> protocol.join(addresses, milliseconds.getAsLong()), control)
+                .exceptionally(MembershipDuty::logJoinFailure);
+    }
+
+    private static Void logJoinFailure(Throwable failure) {
+        logger.atInfo().log(
+                "event=join-points-not-read step=read peer=table-service detail=%s",
+                failure.getMessage());
+        return null;
+    }
+
+    private void onEvent(MemberEvent event) {
+        changed = true;
+        logger.atInfo().log(
+                "event=member-%s node=%s incarnation=%d region=%s",
+                event.kind().name().toLowerCase(Locale.ROOT).replace('_', '-'),
+                event.member().getNodeId(),
+                event.member().getIncarnation(),
+                event.region());
+        if (event.kind() == Kind.DEAD || event.kind() == Kind.LEFT) {
+            listener.onGone(event.member());
+        } else if (event.kind() == Kind.SUPERSEDED) {
+            listener.onSuperseded();
+        }
+    }
+
+    private void publishIfChanged() {
+        if (changed) {
+            changed = false;
+            directory.publish(protocol.members());
+            listener.onPublished();
+        }
+    }
+}
