Keep the measuring of load within a budget of bytes

Cause: measuring must stay within 3 KB/s a node and a hundredth of the paid link. Ruled out: probing all targets (services are probed only by nodes that use them, quiet targets only, never over the paid link); a report of each target to each region (one summary for each service and region).

--- /dev/null
+++ b/core/src/main/java/org/damaskmoor/core/load/MeasuringKind.java
@@ -0,0 +1,11 @@
+package org.damaskmoor.core.load;
+
+/** What bytes were spent on measuring. */
+public enum MeasuringKind {
+    /** An explicit load probe and its answer. */
+    PROBE,
+    /** A load report that rides on an answer or a refusal. */
+    REPORT,
+    /** A region's summary over the paid link. */
+    SUMMARY
+}
