Bound retries and hedges by a budget

Cause: retries and hedges must not multiply a fault, least of all on calls seven deep. Ruled out: charging the bounce off a draining or replaced target, which would let a planned stop use up what faults need. Change: RetryBudget, RetryRules (only the level next to a refusal retries; a non-idempotent request is never sent again once it may have run), HedgePolicy, DeadlineBudget.

--- /dev/null
+++ b/core/src/main/java/org/damaskmoor/core/retry/HedgePolicy.java
@@ -0,0 +1,114 @@
+package org.damaskmoor.core.retry;
+
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.IntCountsHistogram;
+
+/**
+ * Decides after which time an idempotent request is sent to a second target as well, and whether
+ * the budget allows it.
+ *
+ * <pre>{@code
+ * OptionalLong delay = hedging.delayNanoseconds(rule.nonIdempotent(), now);
+ * // when that time has passed without an answer:
+ * if (hedging.tryHedge(now)) {
+ *     // send the second attempt; cancel the one that loses
+ * }
+ * }</pre>
+ *
+ * <p>The delay is a high quantile of recent latency, of the last one to two windows. Invariants: a
+ * non-idempotent request is never hedged; hedges come out of the same budget as retries. Not
+ * thread-safe.
+ */
+public final class HedgePolicy {
+    private static final long WINDOW_NANOSECONDS = TimeUnit.SECONDS.toNanos(10);
+    private static final long REFRESH_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(100);
+    private static final long LEAST_DELAY_MICROSECONDS = 1000;
+    private static final long GREATEST_LATENCY_MICROSECONDS = TimeUnit.MINUTES.toMicros(1);
+    private static final int SIGNIFICANT_DIGITS = 2;
+    private static final int LEAST_SAMPLES = 100;
+
+    private final RetryBudget budget;
+    private int percentile;
+    private IntCountsHistogram current = histogram();
+    private IntCountsHistogram previous = histogram();
+    private long windowStartNanoseconds;
+    private long refreshedAtNanoseconds;
+    private long delayMicroseconds;
+
+    /**
+     * Hedging out of the given budget.
+     *
+     * @param percentile the quantile in percent; 0 means no hedging
+     */
+    public HedgePolicy(int percentile, RetryBudget budget, long nowNanoseconds) {
+        this.percentile = percentile;
+        this.budget = budget;
+        this.windowStartNanoseconds = nowNanoseconds;
+        this.refreshedAtNanoseconds = nowNanoseconds - REFRESH_NANOSECONDS;
+    }
+
+    /** The configuration has changed. */
+    public void configure(int newPercentile) {
+        percentile = newPercentile;
+        delayMicroseconds = 0;
+    }
+
+    /** A first attempt was answered. Answers to hedges would make the quantile too small. */
+    public void onAnswered(long latencyNanoseconds, long nowNanoseconds) {
+        rotate(nowNanoseconds);
+        long microseconds = TimeUnit.NANOSECONDS.toMicros(Math.max(0, latencyNanoseconds));
+        current.recordValue(Math.min(GREATEST_LATENCY_MICROSECONDS, microseconds));
+    }
+
+    /** Time after which to hedge; empty: do not hedge this request. */
+    public OptionalLong delayNanoseconds(boolean nonIdempotent, long nowNanoseconds) {
+        if (percentile == 0 || nonIdempotent) {
+            return OptionalLong.empty();
+        }
+        rotate(nowNanoseconds);
+        refresh(nowNanoseconds);
+        if (delayMicroseconds == 0) {
+            return OptionalLong.empty();
+        }
+        return OptionalLong.of(TimeUnit.MICROSECONDS.toNanos(delayMicroseconds));
+    }
+
+    /** Takes the hedge out of the budget. False: it must not be sent. */
+    public boolean tryHedge(long nowNanoseconds) {
+        return budget.tryTake(nowNanoseconds);
+    }
+
+    private void rotate(long now) {
+        if (now - windowStartNanoseconds < WINDOW_NANOSECONDS) {
+            return;
+        }
+        IntCountsHistogram oldest = previous;
+        previous = current;
+        current = oldest;
+        current.reset();
+        if (now - windowStartNanoseconds >= 2 * WINDOW_NANOSECONDS) {
+            previous.reset();
+        }
+        windowStartNanoseconds = now;
+    }
+
+    private void refresh(long now) {
+        if (now - refreshedAtNanoseconds < REFRESH_NANOSECONDS) {
+            return;
+        }
+        refreshedAtNanoseconds = now;
+        if (current.getTotalCount() + previous.getTotalCount() < LEAST_SAMPLES) {
+            delayMicroseconds = 0;
+            return;
+        }
+        IntCountsHistogram both = current.copy();
+        both.add(previous);
+        long quantile = both.getValueAtPercentile(percentile);
+        delayMicroseconds = Math.max(LEAST_DELAY_MICROSECONDS, quantile);
+    }
+
+    private static IntCountsHistogram histogram() {
+        return new IntCountsHistogram(GREATEST_LATENCY_MICROSECONDS, SIGNIFICANT_DIGITS);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/damaskmoor/core/retry/RetryTest.java
@@ -0,0 +1,154 @@
+package org.damaskmoor.core.retry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Arrays;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.damaskmoor.schema.mesh.RefusalReason;
+import org.junit.jupiter.api.Test;
+
+class RetryTest {
+    private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+    private static final long MILLISECOND = TimeUnit.MILLISECONDS.toNanos(1);
+    private static final DeadlineBudget AMPLE = DeadlineBudget.ofMilliseconds(1000);
+
+    @Property(seed = "1")
+    void should_bound_retries_by_share_floor_and_burst(
+            @ForAll long seed, @ForAll @IntRange(max = 100) int percent) {
+        // given
+        Random random = new Random(seed);
+        long start = random.nextLong();
+        long now = start;
+        RetryBudget budget = new RetryBudget(percent, now);
+        int requests = 0;
+        int retries = 0;
+
+        for (int i = 0; i < 300; i++) {
+            // when
+            now += random.nextInt(20_000_000);
+            if (random.nextInt(3) == 0) {
+                budget.onRequest(now);
+                requests++;
+            } else if (budget.tryTake(now)) {
+                retries++;
+            }
+
+            // then
+            double floor = (double) (now - start) / SECOND;
+            assertThat((double) retries).isAtMost(20 + floor + requests * percent / 100.0 + 1e-6);
+        }
+    }
+
+    @Test
+    void should_allow_a_tenth_of_the_requests_when_all_fail() {
+        // given
+        RetryBudget budget = new RetryBudget(10, 0);
+        int retries = 0;
+
+        // when
+        for (int i = 0; i < 10_000; i++) {
+            long now = i * MILLISECOND;
+            budget.onRequest(now);
+            retries += budget.tryTake(now) ? 1 : 0;
+        }
+
+        // then
+        assertThat(retries).isAtLeast(1000);
+        assertThat(retries).isAtMost(1000 + 20 + 10);
+    }
+
+    @Test
+    void should_retry_on_one_level_only_of_a_deep_call() {
+        // given
+        RefusalReason reason = RefusalReason.OVERLOADED;
+
+        // then
+        assertThat(RetryRules.afterRefusal(reason, false, 1, AMPLE)).isTrue();
+        assertThat(RetryRules.afterRefusal(reason, true, 1, AMPLE)).isFalse();
+        assertThat(RetryRules.afterRefusal(reason, false, 3, AMPLE)).isFalse();
+    }
+
+    @Test
+    void should_not_retry_what_another_target_would_refuse_too() {
+        assertThat(RetryRules.afterRefusal(RefusalReason.QUARANTINED, false, 1, AMPLE)).isFalse();
+        assertThat(RetryRules.afterRefusal(RefusalReason.NOT_ALLOWED, false, 1, AMPLE)).isFalse();
+        assertThat(RetryRules.afterRefusal(RefusalReason.CALLER_OVER_SHARE, false, 1, AMPLE))
+                .isFalse();
+    }
+
+    @Test
+    void should_never_send_again_what_is_not_idempotent_and_may_have_run() {
+        assertThat(RetryRules.afterFailure(true, 1, AMPLE)).isFalse();
+        assertThat(RetryRules.afterFailure(false, 1, AMPLE)).isTrue();
+        assertThat(RetryRules.afterFailure(false, 1, new DeadlineBudget(999_999))).isFalse();
+    }
+
+    @Test
+    void should_subtract_each_hop_and_never_add_time() {
+        // given
+        DeadlineBudget budget = DeadlineBudget.ofMilliseconds(10);
+
+        // when
+        DeadlineBudget next = budget.minus(300_000);
+
+        // then
+        assertThat(next.toMilliseconds()).isEqualTo(9);
+        assertThat(next.minus(20 * MILLISECOND).spent()).isTrue();
+        assertThat(DeadlineBudget.until(5, Long.MAX_VALUE).spent()).isTrue();
+    }
+
+    @Property(seed = "1")
+    void should_hedge_after_the_quantile_that_sorting_finds(
+            @ForAll long seed, @ForAll @IntRange(min = 50, max = 99) int percentile) {
+        // given
+        Random random = new Random(seed);
+        HedgePolicy hedging = new HedgePolicy(percentile, new RetryBudget(10, 0), 0);
+        long[] latencies = random.longs(500, MILLISECOND, SECOND).toArray();
+
+        // when
+        Arrays.stream(latencies).forEach(latency -> hedging.onAnswered(latency, 1));
+        double delay = hedging.delayNanoseconds(false, 1).orElseThrow();
+
+        // then
+        Arrays.sort(latencies);
+        double naive = latencies[(int) Math.ceil(percentile / 100.0 * latencies.length) - 1];
+        assertThat(delay).isWithin(0.01 * naive).of(naive);
+    }
+
+    @Test
+    void should_not_hedge_what_is_not_idempotent_or_not_known_well_enough() {
+        // given
+        HedgePolicy hedging = new HedgePolicy(95, new RetryBudget(10, 0), 0);
+
+        // when
+        boolean before = hedging.delayNanoseconds(false, 0).isPresent();
+        for (int i = 0; i < 200; i++) {
+            hedging.onAnswered(5 * MILLISECOND, SECOND);
+        }
+
+        // then
+        assertThat(before).isFalse();
+        assertThat(hedging.delayNanoseconds(true, SECOND).isPresent()).isFalse();
+        assertThat(hedging.delayNanoseconds(false, SECOND).isPresent()).isTrue();
+        assertThat(hedging.delayNanoseconds(false, 100 * SECOND).isPresent()).isFalse();
+    }
+
+    @Test
+    void should_take_hedges_from_the_budget_of_retries() {
+        // given
+        RetryBudget budget = new RetryBudget(0, 0);
+        HedgePolicy hedging = new HedgePolicy(95, budget, 0);
+
+        // when
+        while (budget.tryTake(0)) {
+            // use it up
+        }
+
+        // then
+        assertThat(hedging.tryHedge(0)).isFalse();
+    }
+}
