--- a/core/src/main/java/org/damaskmoor/core/membership/MembershipProtocol.java
+++ b/core/src/main/java/org/damaskmoor/core/membership/MembershipProtocol.java
@@ -6,6 +6,7 @@
 import java.util.random.RandomGenerator;
 import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.core.id.RegionName;
+import org.damaskmoor.core.id.ServiceName;
 import org.damaskmoor.core.membership.internal.Protocol;
 import org.damaskmoor.schema.gossip.ConfigurationVersion;
 import org.damaskmoor.schema.gossip.GossipMessage;
@@ -87,6 +88,11 @@
         protocol.announceSelf(state, capacity, nowMilliseconds);
     }
 
+    /** Tells all members which service the own upstream runs; without a change nothing is sent. */
+    public void announceService(ServiceName service, long nowMilliseconds) {
+        protocol.announceService(service.value(), nowMilliseconds);
+    }
+
     /** Tells that this node leaves. Keep ticking for two seconds, so that the news gets out. */
     public void leave(long nowMilliseconds) {
         protocol.leave(nowMilliseconds);
--- a/core/src/main/java/org/damaskmoor/core/membership/internal/Protocol.java
+++ b/core/src/main/java/org/damaskmoor/core/membership/internal/Protocol.java
@@ -244,6 +244,15 @@
         }
     }
 
+    /** See {@code MembershipProtocol}. */
+    public void announceService(String service, long nowMilliseconds) {
+        MemberRecord self = group.self;
+        boolean same = self.getService().equals(service);
+        if (!same && self.getState() == MemberState.ALIVE) {
+            group.changeSelf(self.toBuilder().setService(service), nowMilliseconds);
+        }
+    }
+
     /** See {@code MembershipProtocol}. */
     public void leave(long nowMilliseconds) {
         if (group.self.getState() != MemberState.LEFT) {
--- /dev/null
+++ b/node/src/main/java/org/damaskmoor/node/NodeProcess.java
@@ -0,0 +1,417 @@
+package org.damaskmoor.node;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.damaskmoor.core.configuration.ServiceMatcher;
+import org.damaskmoor.core.id.DataCentreName;
+import org.damaskmoor.core.id.Incarnation;
+import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.core.id.RegionName;
+import org.damaskmoor.core.membership.MembershipProtocol;
+import org.damaskmoor.core.routing.RoutingOptions;
+import org.damaskmoor.mesh.ChannelCustomizer;
+import org.damaskmoor.mesh.MeshLink;
+import org.damaskmoor.mesh.MeshSettings;
+import org.damaskmoor.mesh.NettyMeshTransport;
+import org.damaskmoor.mesh.gossip.GossipTransport;
+import org.damaskmoor.node.internal.configuration.ConfigurationDuty;
+import org.damaskmoor.node.internal.control.ControlServer;
+import org.damaskmoor.node.internal.duty.DutyLoop;
+import org.damaskmoor.node.internal.entry.EntryDuty;
+import org.damaskmoor.node.internal.entry.EntryDuty.EntrySettings;
+import org.damaskmoor.node.internal.entry.EntryLimits;
+import org.damaskmoor.node.internal.entry.EntryParts;
+import org.damaskmoor.node.internal.entry.MeshCarrier;
+import org.damaskmoor.node.internal.entry.RefusalRecorder;
+import org.damaskmoor.node.internal.entry.ServiceRuntimes;
+import org.damaskmoor.node.internal.entry.ServiceRuntimes.ChoicePolicyFactory;
+import org.damaskmoor.node.internal.entry.ServiceRuntimes.RoutingDefaults;
+import org.damaskmoor.node.internal.members.JoinPoints;
+import org.damaskmoor.node.internal.members.MemberDirectory;
+import org.damaskmoor.node.internal.members.MembershipDuty;
+import org.damaskmoor.node.internal.mesh.FrameReceivers;
+import org.damaskmoor.node.internal.mesh.FrameRouter;
+import org.damaskmoor.node.internal.mesh.SelfLink;
+import org.damaskmoor.node.internal.metrics.MetricsText;
+import org.damaskmoor.node.internal.metrics.NodeMetrics;
+import org.damaskmoor.node.internal.target.ClaimService.Claim;
+import org.damaskmoor.node.internal.target.TargetDuty;
+import org.damaskmoor.node.internal.target.TargetDuty.TargetLimits;
+import org.damaskmoor.node.internal.target.TargetDuty.UpstreamStatus;
+import org.damaskmoor.platform.PlatformClient;
+import org.damaskmoor.platform.PlatformClientLimits;
+import org.damaskmoor.platform.PlatformServiceTable;
+import org.damaskmoor.platform.TableService;
+import org.damaskmoor.schema.gossip.MemberRecord;
+import org.damaskmoor.schema.gossip.MemberState;
+import org.damaskmoor.schema.mesh.LoadProbeAnswer;
+import org.damaskmoor.schema.mesh.MeshFrame;
+import org.damaskmoor.schema.mesh.RefusalReason;
+import org.damaskmoor.schema.settings.NodeSettings;
+
+/**
+ * One node: the process beside an upstream VM, with all of its duties.
+ *
+ * <pre>{@code
+ * NodeProcess node = new NodeProcess(settings, ChannelCustomizer.NONE);
+ * node.start().join();
+ * node.stop().join();
+ * }</pre>
+ *
+ * <p>Thread-safe. Invariant: each duty has one thread; duties hand messages to one another through
+ * bounded rings.
+ */
+public final class NodeProcess {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final int MESH_RING_FRAMES = 16_384;
+    private static final int FRAME_OVERHEAD_BYTES = 256 * 1024;
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+    private static final Duration SILENCE_TIMEOUT = Duration.ofSeconds(1);
+    private static final long LEAVE_NOTICE_MILLISECONDS = 1_000;
+    private static final long IDLE_CHECK_MILLISECONDS = 20;
+
+    private final NodeSettings settings;
+    private final NodeId self;
+    private final DutyLoop callerLoop = new DutyLoop("callers");
+    private final DutyLoop upstreamLoop = new DutyLoop("upstream");
+    private final DutyLoop controlLoop = new DutyLoop("control");
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final MemberDirectory members = new MemberDirectory();
+    private final PlatformClient platform;
+    private final NettyMeshTransport mesh;
+    private final GossipTransport gossip;
+    private final EntryDuty entry;
+    private final TargetDuty target;
+    private final ConfigurationDuty configuration;
+    private final MembershipDuty membership;
+    private final ControlServer control;
+    private volatile boolean stopping;
+
+    /**
+     * Creates a node that is not started.
+     *
+     * @param settings checked settings
+     * @param customizer changes each channel to other nodes before it is used
+     */
+    public NodeProcess(NodeSettings settings, ChannelCustomizer customizer) {
+        this.settings = settings;
+        this.self = new NodeId(settings.getNodeId());
+        Incarnation incarnation = new Incarnation(System.currentTimeMillis());
+        platform = new PlatformClient(PlatformClientLimits.defaults(), new SplittableRandom());
+        TableService tables = platform.tableService(URI.create(settings.getTableServiceUrl()));
+        mesh =
+                new NettyMeshTransport(
+                        meshSettings(incarnation), new FrameRouter(receivers()), customizer);
+        gossip =
+                new GossipTransport(
+                        new InetSocketAddress(settings.getAddress(), settings.getGossipPort()),
+                        this::onDatagram,
+                        customizer);
+        target = targetDuty(incarnation);
+        entry = entryDuty(incarnation);
+        configuration =
+                new ConfigurationDuty(
+                        controlLoop::execute,
+                        members,
+                        mesh,
+                        new PlatformServiceTable(tables),
+                        version -> membership().protocol().spread(version),
+                        this::onConfiguration);
+        membership =
+                new MembershipDuty(
+                        selfRecord(incarnation),
+                        gossip,
+                        configuration.gossip(
+                                (peer, versions) -> membership().protocol().tell(peer, versions),
+                                record -> false),
+                        new JoinPoints(tables),
+                        members,
+                        new Listener(),
+                        controlLoop::execute,
+                        NodeProcess::monotonicMilliseconds,
+                        new SplittableRandom());
+        control =
+                new ControlServer(
+                        controlLoop.loop(),
+                        settings.getControlPort(),
+                        settings.getAnnouncementLeaseMilliseconds(),
+                        target::announce,
+                        this::isReady,
+                        target::drain,
+                        new MetricsText(metrics));
+    }
+
+    /** Opens all ports and joins the other nodes; completes when the ports are open. */
+    public CompletableFuture<Void> start() {
+        return mesh.start()
+                .thenCompose(done -> gossip.start())
+                .thenCompose(address -> control.start())
+                .thenCompose(done -> entry.start())
+                .thenRun(this::startTicks);
+    }
+
+    /** Whether this node takes callers. */
+    public boolean isReady() {
+        return configuration.isReady() && !stopping;
+    }
+
+    /**
+     * A planned stop: takes no new work, finishes what is in flight within the drain timeout, tells
+     * the other nodes, and ends.
+     */
+    public CompletableFuture<Void> stop() {
+        stopping = true;
+        logger.atInfo().log("event=node-stopping node=%s", self);
+        target.drain();
+        long deadline =
+                monotonicMilliseconds() + Math.max(0, settings.getDrainTimeoutMilliseconds());
+        return CompletableFuture.runAsync(() -> {}, later(LEAVE_NOTICE_MILLISECONDS))
+                .thenCompose(noticed -> entry.stop())
+                .thenCompose(closed -> whenTargetIdle(deadline))
+                .thenCompose(idle -> leave())
+                .thenCompose(left -> control.stop())
+                .thenCompose(stopped -> mesh.stop())
+                .thenCompose(stopped -> gossip.close())
+                .thenRun(this::stopLoops);
+    }
+
+    private CompletableFuture<Void> whenTargetIdle(long deadlineMilliseconds) {
+        return target.isIdle()
+                .thenCompose(
+                        idle -> {
+                            if (idle || monotonicMilliseconds() >= deadlineMilliseconds) {
+                                return CompletableFuture.completedFuture(null);
+                            }
+                            return CompletableFuture.runAsync(
+                                            () -> {}, later(IDLE_CHECK_MILLISECONDS))
+                                    .thenCompose(waited -> whenTargetIdle(deadlineMilliseconds));
+                        });
+    }
+
+    private CompletableFuture<Void> leave() {
+        return controlLoop
+                .submit(() -> membership.protocol().leave(monotonicMilliseconds()))
+                .thenCompose(
+                        told ->
+                                CompletableFuture.runAsync(
+                                        () -> {}, later(LEAVE_NOTICE_MILLISECONDS)));
+    }
+
+    private void stopLoops() {
+        callerLoop.stop();
+        upstreamLoop.stop();
+        controlLoop.stop();
+        platform.close();
+        logger.atInfo().log("event=node-stopped node=%s", self);
+    }
+
+    private static java.util.concurrent.Executor later(long milliseconds) {
+        return CompletableFuture.delayedExecutor(milliseconds, TimeUnit.MILLISECONDS);
+    }
+
+    private void startTicks() {
+        controlLoop.execute(
+                () -> configuration.begin(membership.nearestPeers(), monotonicMilliseconds()));
+        SplittableRandom turns = new SplittableRandom();
+        controlLoop.every(
+                MembershipProtocol.TICK_MILLISECONDS,
+                () -> {
+                    membership.tick();
+                    configuration.tick(
+                            membership.nearestPeers(), turns.nextDouble(), monotonicMilliseconds());
+                });
+        logger.atInfo().log(
+                "event=node-started node=%s http_port=%d", self, settings.getHttpPort());
+    }
+
+    private MembershipDuty membership() {
+        return membership;
+    }
+
+    private MeshSettings meshSettings(Incarnation incarnation) {
+        return new MeshSettings(
+                self,
+                incarnation,
+                new InetSocketAddress(settings.getAddress(), settings.getMeshPort()),
+                settings.getMaximumBodyBytes() + FRAME_OVERHEAD_BYTES,
+                MESH_RING_FRAMES,
+                CONNECT_TIMEOUT,
+                SILENCE_TIMEOUT,
+                Optional.empty());
+    }
+
+    private FrameReceivers receivers() {
+        return new FrameReceivers(
+                this::onEntryFrame,
+                this::onTargetFrame,
+                (link, frame) -> link.send(loadAnswer()),
+                (link, frame) -> controlLoop.execute(() -> configuration.onFrame(link, frame)),
+                (link, frame) -> {},
+                this::onUnsent,
+                (peer, lastUsed) -> entry.onLinkLost(peer, lastUsed));
+    }
+
+    private void onEntryFrame(MeshLink link, MeshFrame frame) {
+        if (frame.hasLoadProbeAnswer()) {
+            entry.onLoad(link, frame, System::nanoTime);
+        } else {
+            entry.offer(frame);
+        }
+    }
+
+    private void onTargetFrame(MeshLink link, MeshFrame frame) {
+        if (!target.offer(link, frame)) {
+            logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
+                    "event=frame-dropped step=enqueue peer=%s reason=ring-full", link.peer());
+        }
+    }
+
+    private void onUnsent(NodeId peer, MeshFrame frame, RefusalReason reason) {
+        if (frame.hasConfigurationRequest()) {
+            controlLoop.execute(() -> configuration.onUnsent(peer));
+        } else {
+            entry.onUnsent(frame, reason);
+        }
+    }
+
+    private MeshFrame loadAnswer() {
+        return MeshFrame.newBuilder()
+                .setLoadProbeAnswer(LoadProbeAnswer.newBuilder().setLoad(target.lastLoad()))
+                .build();
+    }
+
+    private void onDatagram(
+            org.damaskmoor.schema.gossip.GossipMessage message, InetSocketAddress from) {
+        controlLoop.execute(() -> membership.receive(message, from));
+    }
+
+    private TargetDuty targetDuty(Incarnation incarnation) {
+        TargetLimits limits =
+                new TargetLimits(
+                        settings.getQueueLimit(),
+                        settings.getMaximumBodyBytes(),
+                        settings.getAnnouncementLeaseMilliseconds(),
+                        TimeUnit.SECONDS.toMillis(settings.getKeyRetentionSeconds()));
+        return new TargetDuty(
+                upstreamLoop,
+                incarnation,
+                limits,
+                System::nanoTime,
+                System::currentTimeMillis,
+                (call, whenDone) -> whenDone.accept(Claim.UNAVAILABLE),
+                this::onUpstreamStatus);
+    }
+
+    private EntryDuty entryDuty(Incarnation incarnation) {
+        EntrySettings entrySettings =
+                new EntrySettings(
+                        new EntryLimits(
+                                settings.getOpenRequests(),
+                                settings.getDefaultTimeoutMilliseconds(),
+                                settings.getAcceptanceTimeoutMilliseconds()),
+                        new InetSocketAddress(settings.getAddress(), settings.getHttpPort()),
+                        settings.getMaximumBodyBytes(),
+                        Duration.ofMillis(settings.getDrainTimeoutMilliseconds()));
+        SelfLink selfLink = new SelfLink(self, incarnation, frame -> entry().offer(frame));
+        MeshCarrier carrier =
+                new MeshCarrier(
+                        self,
+                        members,
+                        mesh,
+                        frame -> target.offer(selfLink, frame),
+                        (frame, reason) -> entry().onUnsent(frame, reason));
+        EntryParts parts =
+                new EntryParts(
+                        System::nanoTime,
+                        System::currentTimeMillis,
+                        callerLoop.timers(),
+                        carrier,
+                        refusals(),
+                        new NodeMetrics(metrics, System::nanoTime));
+        return new EntryDuty(
+                callerLoop, self, incarnation, entrySettings, serviceRuntimes(), parts);
+    }
+
+    private EntryDuty entry() {
+        return entry;
+    }
+
+    private RefusalRecorder refusals() {
+        return (refusal, whenRecorded) -> whenRecorded.accept("not-recorded");
+    }
+
+    private ServiceRuntimes serviceRuntimes() {
+        RoutingOptions options =
+                new RoutingOptions(
+                        settings.getSampledCandidates(),
+                        RoutingOptions.DEFAULT.slowStartNanoseconds(),
+                        RoutingOptions.DEFAULT.ejectedPercent());
+        return new ServiceRuntimes(
+                new RegionName(settings.getRegion()),
+                new DataCentreName(settings.getDataCentre()),
+                new RoutingDefaults(
+                        options, settings.getRetryBudgetPercent(), ChoicePolicyFactory.PRODUCT),
+                members,
+                System::nanoTime,
+                new SplittableRandom(),
+                ServiceMatcher.of(java.util.List.of()));
+    }
+
+    private MemberRecord selfRecord(Incarnation incarnation) {
+        return MemberRecord.newBuilder()
+                .setNodeId(self.value())
+                .setIncarnation(incarnation.value())
+                .setState(MemberState.ALIVE)
+                .setRegion(settings.getRegion())
+                .setDataCentre(settings.getDataCentre())
+                .setAddress(settings.getAddress())
+                .setMeshPort(settings.getMeshPort())
+                .setGossipPort(settings.getGossipPort())
+                .build();
+    }
+
+    private void onConfiguration(ServiceMatcher services) {
+        entry.onConfiguration(services);
+        target.onConfiguration(services);
+    }
+
+    private void onUpstreamStatus(UpstreamStatus status) {
+        controlLoop.execute(
+                () -> {
+                    long now = monotonicMilliseconds();
+                    status.service()
+                            .ifPresent(
+                                    service -> membership.protocol().announceService(service, now));
+                    membership.protocol().announceSelf(status.state(), status.capacity(), now);
+                });
+    }
+
+    private static long monotonicMilliseconds() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    /** Passes on what membership finds. */
+    private final class Listener implements MembershipDuty.MembershipListener {
+        @Override
+        public void onPublished() {
+            entry.onMembers();
+        }
+
+        @Override
+        public void onGone(MemberRecord member) {
+            configuration.forget(new NodeId(member.getNodeId()));
+        }
+
+        @Override
+        public void onSuperseded() {
+            logger.atSevere().log("event=node-superseded node=%s", self);
+        }
+    }
+}
--- a/node/src/main/java/org/damaskmoor/node/internal/configuration/ConfigurationDuty.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/configuration/ConfigurationDuty.java
@@ -176,8 +176,6 @@
         onChange.accept(matcher);
         logger.atInfo().log(
                 "event=configuration-in-force service=%s version=%d changed_by=%s",
-                accepted.getService().getName(),
-                accepted.getVersion(),
-                accepted.getChangedBy());
+                accepted.getService().getName(), accepted.getVersion(), accepted.getChangedBy());
     }
 }
--- a/node/src/main/java/org/damaskmoor/node/internal/control/ControlServer.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/control/ControlServer.java
@@ -11,6 +11,7 @@
 import io.activej.http.HttpServer;
 import io.activej.http.RoutingServlet;
 import io.activej.promise.Promise;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
@@ -67,7 +68,7 @@
         this.metrics = metrics;
         this.server =
                 HttpServer.builder(loop, routes())
-                        .withListenAddress(new InetSocketAddress("127.0.0.1", port))
+                        .withListenAddress(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
                         .build();
     }
 
--- a/node/src/main/java/org/damaskmoor/node/internal/entry/EntryDispatcher.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/EntryDispatcher.java
@@ -16,7 +16,6 @@
 import org.damaskmoor.node.internal.http.CallerHandler;
 import org.damaskmoor.node.internal.http.CallerReply;
 import org.damaskmoor.node.internal.http.CallerRequest;
-import org.damaskmoor.node.internal.time.Timers;
 import org.damaskmoor.schema.mesh.Call;
 import org.damaskmoor.schema.mesh.MeshFrame;
 import org.damaskmoor.schema.mesh.RefusalReason;
@@ -64,27 +63,6 @@
                         limits.acceptanceTimeoutMilliseconds());
     }
 
-    /** What a dispatcher works with, from outside of it. Confined to the caller event loop. */
-    record EntryParts(
-            LongSupplier clock,
-            LongSupplier epochMilliseconds,
-            Timers timers,
-            TargetCarrier carrier,
-            RefusalRecorder refusals,
-            OutcomeListener outcomes) {}
-
-    /**
-     * Bounds of an entry node. Immutable and thread-safe.
-     *
-     * @param openRequests most requests that wait for their reply
-     * @param defaultTimeoutMilliseconds deadline when neither caller nor rule names one
-     * @param acceptanceTimeoutMilliseconds silence after which a call is sealed
-     */
-    public record EntryLimits(
-            int openRequests,
-            long defaultTimeoutMilliseconds,
-            long acceptanceTimeoutMilliseconds) {}
-
     @Override
     public Runnable handle(CallerRequest request, Consumer<CallerReply> reply) {
         Optional<MatchedRequest> matched = matcher.match(request);
@@ -205,8 +183,7 @@
                         .setDeadlineEpochMilliseconds(
                                 epochMilliseconds.getAsLong() + patience - elapsed)
                         .build();
-        long deadline =
-                request.arrivalNanoseconds() + TimeUnit.MILLISECONDS.toNanos(patience);
+        long deadline = request.arrivalNanoseconds() + TimeUnit.MILLISECONDS.toNanos(patience);
         return new CallTemplate(
                 matched.service(), matched.caller(), call, request.arrivalNanoseconds(), deadline);
     }
--- a/node/src/main/java/org/damaskmoor/node/internal/entry/EntryExchange.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/EntryExchange.java
@@ -235,7 +235,8 @@
 
     private void seal(AttemptId attempt, CallTarget target) {
         SentAttempt sent = attempts.get(attempt.attempt());
-        MeshFrame frame = EntryFrames.seal(attempt, target, environment.keepMilliseconds(template));
+        MeshFrame frame =
+                EntryFrames.seal(attempt, target, template.call().getDeadlineEpochMilliseconds());
         environment.carrier().sendOverNewerConnection(target.node(), frame, sent.sentNanoseconds());
         sent.startTimer(
                 environment.timers(),
--- a/node/src/main/java/org/damaskmoor/node/internal/entry/ServiceRuntimes.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/ServiceRuntimes.java
@@ -15,8 +15,10 @@
 import org.damaskmoor.core.routing.ChoicePolicy;
 import org.damaskmoor.core.routing.Router;
 import org.damaskmoor.core.routing.RoutingOptions;
+import org.damaskmoor.core.routing.TargetId;
 import org.damaskmoor.node.internal.members.MemberDirectory;
 import org.damaskmoor.schema.configuration.ServiceConfiguration;
+import org.damaskmoor.schema.mesh.LoadReport;
 
 /**
  * The runtimes of the services that callers of this node use, made when first needed.
@@ -95,6 +97,13 @@
                         runtime.router().updateTargets(members.targets(service), now));
     }
 
+    /** A target told of its load in answer to a probe. */
+    public void onLoad(TargetId target, LoadReport load, long nowNanoseconds) {
+        members.member(target.node())
+                .map(member -> runtimes.get(new ServiceName(member.getService())))
+                .ifPresent(runtime -> runtime.router().onLoadHeard(target, load, nowNanoseconds));
+    }
+
     private static boolean policiesDiffer(
             ServiceMatcher former, ServiceMatcher changed, ServiceName service) {
         ServiceConfiguration before = configuration(former, service);
@@ -103,8 +112,7 @@
                 || !before.getRetry().equals(after.getRetry());
     }
 
-    private static ServiceConfiguration configuration(
-            ServiceMatcher matcher, ServiceName service) {
+    private static ServiceConfiguration configuration(ServiceMatcher matcher, ServiceName service) {
         MatchedService matched = matcher.findByName(service.value());
         return matched == null
                 ? ServiceConfiguration.getDefaultInstance()
@@ -114,8 +122,7 @@
     private ServiceRuntime create(ServiceName service) {
         long now = clock.getAsLong();
         ServiceConfiguration configuration = configuration(matcher, service);
-        RoutingOptions options =
-                RoutingOptions.of(configuration.getRouting(), defaults.options());
+        RoutingOptions options = RoutingOptions.of(configuration.getRouting(), defaults.options());
         Router router =
                 Router.create(
                         region,
--- a/node/src/main/java/org/damaskmoor/node/internal/http/CallerServer.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/http/CallerServer.java
@@ -14,7 +14,6 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.IdentityHashMap;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -36,7 +35,7 @@
     private final CallerHandler handler;
     private final LongSupplier clock;
     private final HttpServer server;
-    private final Map<HttpServerConnection, Runnable> openRequests = new IdentityHashMap<>();
+    private final IdentityHashMap<HttpServerConnection, Runnable> openRequests = new IdentityHashMap<>();
     private boolean stopping;
 
     /**
--- a/node/src/main/java/org/damaskmoor/node/internal/members/JoinPoints.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/members/JoinPoints.java
@@ -42,12 +42,11 @@
      * Makes this node a join point of its data centre if too few of those written are members.
      *
      * @param self this node's record
-     * @param isMember whether a record's node is a member now
+     * @param isMember whether a record's node is a member now; called on the platform's thread
      */
     public CompletableFuture<Void> keep(MemberRecord self, Predicate<MemberRecord> isMember) {
         return tables.list(TABLE, self.getDataCentre() + ".", "", MAXIMUM_ROWS)
-                .thenCompose(rows -> keep(self, isMember, rows))
-                .exceptionally(JoinPoints::logFailure);
+                .thenCompose(rows -> keep(self, isMember, rows));
     }
 
     private CompletableFuture<Void> keep(
@@ -68,8 +67,15 @@
         if (valid >= ROWS_FOR_EACH_DATA_CENTRE || isCurrent(own, self)) {
             return CompletableFuture.completedFuture(null);
         }
-        gone.forEach(row -> tables.delete(TABLE, row.key(), row.etag()));
-        return write(self, own);
+        Optional<Row> ownRow = own;
+        return deleteAll(gone).thenCompose(deleted -> write(self, ownRow));
+    }
+
+    private CompletableFuture<Void> deleteAll(List<Row> rows) {
+        return CompletableFuture.allOf(
+                rows.stream()
+                        .map(row -> tables.delete(TABLE, row.key(), row.etag()))
+                        .toArray(CompletableFuture<?>[]::new));
     }
 
     private static boolean isCurrent(Optional<Row> own, MemberRecord self) {
@@ -109,11 +115,4 @@
             return Optional.empty();
         }
     }
-
-    private static Void logFailure(Throwable failure) {
-        logger.atInfo().log(
-                "event=join-point-not-kept step=write peer=table-service detail=%s",
-                failure.getMessage());
-        return null;
-    }
 }
--- a/node/src/main/java/org/damaskmoor/node/internal/members/MemberDirectory.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/members/MemberDirectory.java
@@ -54,6 +54,14 @@
         return Optional.ofNullable(snapshot.byNode().get(node));
     }
 
+    /** Whether a record's node is a member in the same incarnation. */
+    public boolean isCurrent(MemberRecord record) {
+        return !record.getNodeId().isEmpty()
+                && member(new NodeId(record.getNodeId()))
+                        .filter(known -> known.getIncarnation() == record.getIncarnation())
+                        .isPresent();
+    }
+
     /** The members that stand beside an upstream of the service. */
     public List<Target> targets(ServiceName service) {
         return snapshot.byService().getOrDefault(service, List.of());
--- a/node/src/main/java/org/damaskmoor/node/internal/members/MembershipDuty.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/members/MembershipDuty.java
@@ -113,9 +113,8 @@
             joinThroughTable();
         }
         if (now >= nextCheckMilliseconds) {
-            nextCheckMilliseconds =
-                    now + random.nextLong(1, 2 * JOIN_POINT_CHECK_MILLISECONDS);
-            joinPoints.keep(protocol.self(), this::isMember);
+            nextCheckMilliseconds = now + random.nextLong(1, 2 * JOIN_POINT_CHECK_MILLISECONDS);
+            keepJoinPoint();
         }
         publishIfChanged();
     }
@@ -145,13 +144,10 @@
         return protocol.members().size() > 1;
     }
 
-    private boolean isMember(MemberRecord record) {
-        return protocol.members().stream()
-                .anyMatch(
-                        member ->
-                                member.getNodeId().equals(record.getNodeId())
-                                        && member.getIncarnation() == record.getIncarnation()
-                                        && member.getState() == MemberState.ALIVE);
+    private void keepJoinPoint() {
+        joinPoints
+                .keep(protocol.self(), directory::isCurrent)
+                .exceptionally(MembershipDuty::logTableFailure);
     }
 
     private void joinThroughTable() {
@@ -159,12 +155,12 @@
                 .read(protocol.self())
                 .thenAcceptAsync(
                         addresses -> protocol.join(addresses, milliseconds.getAsLong()), control)
-                .exceptionally(MembershipDuty::logJoinFailure);
+                .exceptionally(MembershipDuty::logTableFailure);
     }
 
-    private static Void logJoinFailure(Throwable failure) {
+    private static Void logTableFailure(Throwable failure) {
         logger.atInfo().log(
-                "event=join-points-not-read step=read peer=table-service detail=%s",
+                "event=join-points-unavailable step=join-points peer=table-service detail=%s",
                 failure.getMessage());
         return null;
     }
--- a/node/src/main/java/org/damaskmoor/node/internal/mesh/FrameRouter.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/mesh/FrameRouter.java
@@ -32,8 +32,7 @@
             case LOAD_PROBE -> receivers.loadProbe().accept(link, frame);
             case CONFIGURATION_REQUEST, CONFIGURATION_ANSWER ->
                     receivers.configuration().accept(link, frame);
-            case REFUSAL_BATCH, REFUSAL_BATCH_STORED ->
-                    receivers.accounting().accept(link, frame);
+            case REFUSAL_BATCH, REFUSAL_BATCH_STORED -> receivers.accounting().accept(link, frame);
             default ->
                     logger.atWarning().log(
                             "event=frame-ignored step=read peer=%s kind=%s",
