--- /dev/null
+++ b/bench/src/main/java/org/damaskmoor/bench/load/Schedule.java
@@ -0,0 +1,67 @@
+package org.damaskmoor.bench.load;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+/**
+ * Lays down in advance who sends what and when, so that slow answers don't slow the sending down.
+ *
+ * <p>Invariant: the same random numbers give the same schedule. Not thread safe.
+ */
+public final class Schedule {
+    private static final int ITEMS = 1000;
+    private static final double RESENDING_SHARE = 0.5;
+    private static final double DIRECT_SHARE = 0.2;
+
+    private final List<RequestKind> kinds;
+    private final RandomGenerator random;
+    private final String run;
+
+    /**
+     * @param run sets this schedule's nonces apart from those of others
+     */
+    public Schedule(List<RequestKind> kinds, RandomGenerator random, String run) {
+        this.kinds = List.copyOf(kinds);
+        this.random = random;
+        this.run = run;
+    }
+
+    /** Returns requests with exponentially distributed gaps, in the order in which they are due. */
+    public List<PlannedCall> plan(double requestsPerSecond, double seconds) {
+        List<PlannedCall> calls = new ArrayList<>();
+        double due = random.nextExponential() / requestsPerSecond;
+        while (due < seconds) {
+            calls.add(call((long) (due * TimeUnit.SECONDS.toNanos(1)), calls.size()));
+            due += random.nextExponential() / requestsPerSecond;
+        }
+        return calls;
+    }
+
+    private PlannedCall call(long dueNanoseconds, int number) {
+        RequestKind kind = kind();
+        String caller = kind.callers().get(random.nextInt(kind.callers().size()));
+        return new PlannedCall(
+                dueNanoseconds,
+                caller,
+                kind.booking(),
+                kind.pathPrefix() + "/" + random.nextInt(ITEMS),
+                run + "-" + number,
+                kind.booking() && random.nextDouble() < RESENDING_SHARE,
+                !kind.booking() && random.nextDouble() < DIRECT_SHARE,
+                random.nextInt(Integer.MAX_VALUE));
+    }
+
+    private RequestKind kind() {
+        double all = kinds.stream().mapToDouble(RequestKind::share).sum();
+        double point = random.nextDouble() * all;
+        for (RequestKind kind : kinds) {
+            point -= kind.share();
+            if (point < 0) {
+                return kind;
+            }
+        }
+        return kinds.get(kinds.size() - 1);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/damaskmoor/bench/verification/Latencies.java
@@ -0,0 +1,32 @@
+package org.damaskmoor.bench.verification;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.HdrHistogram.Histogram;
+import org.damaskmoor.bench.load.CallRecord;
+import org.damaskmoor.bench.load.Outcome;
+
+/**
+ * Quantiles of the latency of answered requests, counted from when each was due.
+ *
+ * <p>Not changed after construction; safe for all threads.
+ */
+public final class Latencies {
+    private static final int SIGNIFICANT_DIGITS = 3;
+    private static final double NANOSECONDS_PER_MILLISECOND = TimeUnit.MILLISECONDS.toNanos(1);
+
+    private final Histogram histogram = new Histogram(SIGNIFICANT_DIGITS);
+
+    public Latencies(List<CallRecord> records, Predicate<CallRecord> counted) {
+        records.stream()
+                .filter(line -> line.outcome() == Outcome.ANSWERED)
+                .filter(counted)
+                .forEach(line -> histogram.recordValue(line.latencyNanoseconds()));
+    }
+
+    /** Returns the quantile in milliseconds. */
+    public double milliseconds(double percentile) {
+        return histogram.getValueAtPercentile(percentile) / NANOSECONDS_PER_MILLISECOND;
+    }
+}
