--- a/mesh/src/main/java/org/damaskmoor/mesh/ChannelCustomizer.java
+++ b/mesh/src/main/java/org/damaskmoor/mesh/ChannelCustomizer.java
@@ -4,25 +4,21 @@
 import java.net.InetSocketAddress;
 
 /**
- * Lets the program that starts a node add handlers to each new channel between nodes.
+ * Adds handlers to a channel between two nodes before it is used, for example the emulated link of
+ * the bench.
  *
- * <pre>{@code
- * ChannelCustomizer none = (channel, remote) -> {};
- * }</pre>
- *
- * <p>Called once for each channel, before its first write, on the channel's event loop or before the
- * channel is registered. For an accepted channel and for a datagram channel the remote address may be
- * null: a datagram channel has as many remote addresses as there are peers.
- *
- * <p>Thread safety: implementations are called from several event loops at once.
+ * <p>Called on the channel's event loop; must not block.
  */
 @FunctionalInterface
 public interface ChannelCustomizer {
+    /** A customizer that changes nothing. */
+    ChannelCustomizer NONE = (channel, remote) -> {};
+
     /**
-     * Adds handlers to the channel's pipeline, nearest to the network.
+     * Adds handlers to the pipeline.
      *
      * @param channel the new channel
-     * @param remote the peer's address, null when it is not known yet
+     * @param remote the other end, or null for a datagram channel that speaks with many peers
      */
     void customize(Channel channel, InetSocketAddress remote);
 }
--- /dev/null
+++ b/node/src/main/java/org/damaskmoor/node/internal/duty/DutyLoop.java
@@ -0,0 +1,88 @@
+package org.damaskmoor.node.internal.duty;
+
+import com.google.common.flogger.FluentLogger;
+import io.activej.eventloop.Eventloop;
+import io.activej.reactor.schedule.ScheduledRunnable;
+import java.util.concurrent.CompletableFuture;
+import org.damaskmoor.node.internal.time.Timers;
+
+/**
+ * An event loop with the one thread of a duty.
+ *
+ * <p>Thread-safe; tasks run on the duty's thread. Invariant: a task that fails is logged and does
+ * not end the loop.
+ */
+public final class DutyLoop {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final long STOP_MILLISECONDS = 2_000;
+
+    private final Eventloop loop;
+    private final Thread thread;
+
+    /** Starts the thread of the duty with the given name. */
+    public DutyLoop(String name) {
+        loop =
+                Eventloop.builder()
+                        .withThreadName(name)
+                        .withFatalErrorHandler(
+                                (error, context) ->
+                                        logger.atSevere().withCause(error).log(
+                                                "event=task-failed duty=%s", name))
+                        .build();
+        loop.keepAlive(true);
+        thread = new Thread(loop, name);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** The event loop, for servers and clients that run on it. */
+    public Eventloop loop() {
+        return loop;
+    }
+
+    /** Runs a task on the duty's thread. */
+    public void execute(Runnable task) {
+        loop.execute(task);
+    }
+
+    /** Runs a task on the duty's thread; completes or fails as the task does. */
+    public CompletableFuture<Void> submit(Runnable task) {
+        return loop.submit(task::run);
+    }
+
+    /** Timers of this duty; to be used on its thread only. */
+    public Timers timers() {
+        return (delayMilliseconds, task) -> {
+            ScheduledRunnable scheduled = loop.delay(delayMilliseconds, task);
+            return () -> {
+                if (scheduled.isActive()) {
+                    scheduled.cancel();
+                }
+            };
+        };
+    }
+
+    /** Runs a task again and again, with the given pause after each run, while the loop runs. */
+    public void every(long pauseMilliseconds, Runnable task) {
+        loop.execute(() -> repeat(pauseMilliseconds, task));
+    }
+
+    /** Ends the loop and its thread. */
+    public void stop() {
+        loop.execute(
+                () -> {
+                    loop.keepAlive(false);
+                    loop.breakEventloop();
+                });
+        try {
+            thread.join(STOP_MILLISECONDS);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void repeat(long pauseMilliseconds, Runnable task) {
+        loop.delayBackground(pauseMilliseconds, () -> repeat(pauseMilliseconds, task));
+        task.run();
+    }
+}
