--- a/bench/src/main/java/org/damaskmoor/bench/BenchMain.java
+++ b/bench/src/main/java/org/damaskmoor/bench/BenchMain.java
@@ -3,7 +3,11 @@
 import com.github.rvesse.airline.Cli;
 import com.github.rvesse.airline.parser.errors.ParseException;
 import java.util.Arrays;
+import java.util.List;
 import java.util.concurrent.Callable;
+import org.damaskmoor.bench.demo.DemoCommand;
+import org.damaskmoor.bench.link.EmulatedNode;
+import org.damaskmoor.bench.link.NodeStarter;
 import org.damaskmoor.bench.platform.PlatformStandInCommand;
 import org.damaskmoor.bench.upstream.UpstreamStandInCommand;
 
@@ -16,6 +20,11 @@
     private static final int FAILED = 1;
     private static final int WRONG_FLAGS = 2;
 
+    private static final NodeStarter NODE =
+            (flags, customizer) -> {
+                throw new UnsupportedOperationException("the node is not wired yet: " + flags);
+            };
+
     private BenchMain() {}
 
     public static void main(String[] arguments) {
@@ -24,6 +33,9 @@
 
     private static int run(String[] arguments) {
         try {
+            if (arguments.length > 0 && arguments[0].equals(EmulatedNode.NAME)) {
+                return new EmulatedNode(NODE).run(List.of(arguments).subList(1, arguments.length));
+            }
             return cli().parse(arguments).call();
         } catch (ParseException e) {
             System.err.println(e.getMessage());
@@ -36,6 +48,7 @@
 
     private static Cli<Callable<Integer>> cli() {
         return Cli.<Callable<Integer>>builder("damaskmoor-bench")
+                .withCommand(DemoCommand.class)
                 .withCommand(PlatformStandInCommand.class)
                 .withCommand(UpstreamStandInCommand.class)
                 .build();
--- /dev/null
+++ b/bench/src/main/java/org/damaskmoor/bench/demo/Demo.java
@@ -0,0 +1,139 @@
+package org.damaskmoor.bench.demo;
+
+import java.io.IOException;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Random;
+import org.damaskmoor.bench.demo.Deployment.Service;
+import org.damaskmoor.bench.http.BlockingClient;
+import org.damaskmoor.bench.load.CallRecord;
+import org.damaskmoor.bench.load.LoadRun;
+import org.damaskmoor.bench.load.PlannedCall;
+import org.damaskmoor.bench.load.Schedule;
+import org.damaskmoor.bench.verification.InvariantChecker;
+import org.damaskmoor.bench.verification.Totals;
+import org.damaskmoor.bench.verification.UpstreamRuns;
+
+/**
+ * One whole run: start everything, send load with faults on the way, hold all ledgers against
+ * another.
+ *
+ * <p>Used by one thread, once.
+ */
+final class Demo {
+    private static final long START_TIMEOUT_MILLISECONDS = 20_000;
+    private static final long ACCOUNT_TIMEOUT_MILLISECONDS = 8_000;
+    private static final long POLL_MILLISECONDS = 200;
+    private static final double WARM_UP_SECONDS = 4;
+    private static final double LOAD_SECONDS = 15;
+
+    private final Deployment deployment;
+    private final Site site;
+    private final ChildProcesses children;
+    private final BlockingClient client;
+    private final ServiceApplier applier;
+    private final AccountedRefusals accountedRefusals;
+    private final MeasuringBytes measuringBytes;
+    private final Progress progress;
+
+    Demo(
+            Deployment deployment,
+            Site site,
+            ChildProcesses children,
+            BlockingClient client,
+            ServiceApplier applier,
+            AccountedRefusals accountedRefusals,
+            MeasuringBytes measuringBytes,
+            Progress progress) {
+        this.deployment = deployment;
+        this.site = site;
+        this.children = children;
+        this.client = client;
+        this.applier = applier;
+        this.accountedRefusals = accountedRefusals;
+        this.measuringBytes = measuringBytes;
+        this.progress = progress;
+    }
+
+    /** Runs the demo and returns its totals. */
+    Totals run(long seed) throws IOException, InterruptedException {
+        start();
+        Random random = new Random(seed);
+        Schedule schedule = new Schedule(deployment.requests(), random, "warm-" + seed);
+        double rate = deployment.requestsPerSecond();
+        List<CallRecord> warmUp = load(schedule.plan(rate, WARM_UP_SECONDS));
+        progress.step("warmed up");
+        Schedule measured = new Schedule(deployment.requests(), random, "load-" + seed);
+        List<CallRecord> records;
+        try (FaultPlan faults = new FaultPlan(site.places(), children, client, progress)) {
+            faults.start();
+            records = load(measured.plan(rate, LOAD_SECONDS));
+        }
+        progress.step("load ended, collecting ledgers");
+        return totals(warmUp, records);
+    }
+
+    private void start() throws IOException, InterruptedException {
+        site.startStandIns();
+        site.awaitStandIns(START_TIMEOUT_MILLISECONDS);
+        progress.step("stand-ins run: platform and " + site.places().size() + " upstreams");
+        for (Service service : deployment.services()) {
+            applier.apply(service.configuration());
+        }
+        progress.step("services applied: " + deployment.services().size());
+        site.startNodes();
+        site.awaitNodes(START_TIMEOUT_MILLISECONDS);
+        progress.step("nodes are ready: " + site.places().size());
+    }
+
+    private List<CallRecord> load(List<PlannedCall> schedule) throws InterruptedException {
+        List<URI> entries = urls(site.places().stream().map(Place::entryUrl).toList());
+        List<URI> upstreams = urls(site.places().stream().map(Place::upstreamUrl).toList());
+        return new LoadRun(entries, upstreams, progress::count).run(schedule);
+    }
+
+    private static List<URI> urls(List<String> texts) {
+        return texts.stream().map(URI::create).toList();
+    }
+
+    private Totals totals(List<CallRecord> warmUp, List<CallRecord> measured)
+            throws IOException, InterruptedException {
+        List<CallRecord> all = new ArrayList<>(warmUp);
+        all.addAll(measured);
+        OptionalLong accounted = awaitAccounted(Totals.refused(all));
+        List<String> controlUrls =
+                site.places().stream()
+                        .filter(place -> children.alive(place.nodeId()))
+                        .map(Place::controlUrl)
+                        .toList();
+        return new Totals(
+                warmUp,
+                measured,
+                new InvariantChecker(runs()).check(all),
+                accounted,
+                measuringBytes.sum(controlUrls));
+    }
+
+    /** Waits a while for the last flush of refusals. */
+    private OptionalLong awaitAccounted(long refused) throws IOException, InterruptedException {
+        long end = System.currentTimeMillis() + ACCOUNT_TIMEOUT_MILLISECONDS;
+        OptionalLong accounted = accountedRefusals.count(site.platformUrl());
+        while (accounted.orElse(refused) != refused && System.currentTimeMillis() < end) {
+            Thread.sleep(POLL_MILLISECONDS);
+            accounted = accountedRefusals.count(site.platformUrl());
+        }
+        return accounted;
+    }
+
+    private List<UpstreamRuns> runs() throws IOException {
+        List<UpstreamRuns> runs = new ArrayList<>();
+        for (Place place : site.places()) {
+            String ledger =
+                    client.get(place.upstreamUrl() + "/stand-in/ledger").body().toStringUtf8();
+            runs.addAll(UpstreamRuns.parse(ledger));
+        }
+        return runs;
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/damaskmoor/bench/demo/DemoCommand.java
@@ -0,0 +1,67 @@
+package org.damaskmoor.bench.demo;
+
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.AllowedRawValues;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.concurrent.Callable;
+import org.damaskmoor.bench.http.BlockingClient;
+import org.damaskmoor.bench.verification.Totals;
+
+/** Runs a whole deployment on this machine and checks its promises. Used by one thread. */
+@Command(name = "demo", description = "A whole deployment on this machine, with faults")
+public final class DemoCommand implements Callable<Integer> {
+    private static final Duration CONTROL_TIMEOUT = Duration.ofSeconds(3);
+
+    @Option(name = "--deployment", description = "Whose sizes: bern or cotizar")
+    @AllowedRawValues(allowedValues = {"bern", "cotizar"})
+    private String deployment = "bern";
+
+    @Option(name = "--examples", description = "Directory of the deployments' files")
+    private String examples = "examples";
+
+    @Option(name = "--base-port", description = "First of the ports in use")
+    private int basePort = 21_000;
+
+    @Option(name = "--seed", description = "Seed of the load")
+    private long seed = 1;
+
+    @Override
+    public Integer call() throws Exception {
+        Path directory = Files.createTempDirectory("damaskmoor-demo-");
+        Progress progress = new Progress(System.out);
+        progress.step("deployment " + deployment + ", logs in " + directory);
+        try (ChildProcesses children = new ChildProcesses(directory);
+                BlockingClient client = new BlockingClient(CONTROL_TIMEOUT)) {
+            return report(demo(directory, children, client, progress).run(seed));
+        }
+    }
+
+    private Demo demo(
+            Path directory, ChildProcesses children, BlockingClient client, Progress progress)
+            throws IOException {
+        Deployment sizes = Deployment.read(Path.of(examples, deployment + ".json"));
+        Site site = new Site(sizes, basePort, directory, children, client);
+        return new Demo(
+                sizes,
+                site,
+                children,
+                client,
+                new TableServiceApplier(client, site.platformUrl()),
+                new StoredRefusals(client),
+                MeasuringBytes.NOT_MEASURED,
+                progress);
+    }
+
+    private static int report(Totals totals) {
+        totals.violations().forEach(violation -> System.out.println("broken: " + violation));
+        if (totals.exitCode() == Totals.NOT_MEASURED) {
+            System.out.println("not measured: refusals_accounted; this is no success");
+        }
+        System.out.println(totals.line());
+        return totals.exitCode();
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/damaskmoor/bench/demo/Places.java
@@ -0,0 +1,44 @@
+package org.damaskmoor.bench.demo;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.damaskmoor.bench.demo.Deployment.Service;
+import org.damaskmoor.bench.http.JsonObject;
+
+/** Lays a deployment's upstreams out over its data centres. Stateless and safe for all threads. */
+final class Places {
+    private Places() {}
+
+    /** Spreads each service's upstreams in turn over all data centres. */
+    static List<Place> of(Deployment deployment, int basePort) {
+        List<String> dataCentres = deployment.dataCentres().names();
+        List<Place> places = new ArrayList<>();
+        for (Service service : deployment.services()) {
+            for (int i = 0; i < service.upstreams(); i++) {
+                String dataCentre = dataCentres.get(i % dataCentres.size());
+                places.add(
+                        new Place(
+                                service.configuration().getName() + "-" + (i + 1),
+                                deployment.dataCentres().text(dataCentre, ""),
+                                dataCentre,
+                                service,
+                                basePort + Place.PORTS * (places.size() + 1)));
+            }
+        }
+        return places;
+    }
+
+    /** Returns the link file that tells the nodes where every port stands. */
+    static JsonObject linkFile(Deployment deployment, List<Place> places) {
+        JsonObject ports = new JsonObject();
+        for (Place place : places) {
+            ports.with(String.valueOf(place.meshPort()), place.dataCentre());
+            ports.with(String.valueOf(place.gossipPort()), place.dataCentre());
+        }
+        return new JsonObject()
+                .with("data_centres", deployment.dataCentres())
+                .with("ports", ports)
+                .with("between_data_centres", deployment.content().object("between_data_centres"))
+                .with("between_regions", deployment.content().object("between_regions"));
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/damaskmoor/bench/demo/ServiceApplier.java
@@ -0,0 +1,11 @@
+package org.damaskmoor.bench.demo;
+
+import java.io.IOException;
+import org.damaskmoor.schema.configuration.ServiceConfiguration;
+
+/** Puts a service's configuration in force. */
+@FunctionalInterface
+interface ServiceApplier {
+    /** Returns once the configuration was accepted. */
+    void apply(ServiceConfiguration service) throws IOException;
+}
--- /dev/null
+++ b/bench/src/main/java/org/damaskmoor/bench/demo/Site.java
@@ -0,0 +1,132 @@
+package org.damaskmoor.bench.demo;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.damaskmoor.bench.http.BlockingClient;
+
+/**
+ * All processes of one deployment on this machine: the platform stand-in, and for each place an
+ * upstream stand-in and a node behind emulated links.
+ *
+ * <p>Not thread safe.
+ */
+final class Site {
+    private static final String PLATFORM = "platform";
+    private static final long POLL_MILLISECONDS = 50;
+
+    private final Deployment deployment;
+    private final List<Place> places;
+    private final int platformPort;
+    private final Path directory;
+    private final ChildProcesses children;
+    private final BlockingClient client;
+
+    Site(
+            Deployment deployment,
+            int basePort,
+            Path directory,
+            ChildProcesses children,
+            BlockingClient client) {
+        this.deployment = deployment;
+        this.places = Places.of(deployment, basePort);
+        this.platformPort = basePort;
+        this.directory = directory;
+        this.children = children;
+        this.client = client;
+    }
+
+    List<Place> places() {
+        return places;
+    }
+
+    String platformUrl() {
+        return Place.url(platformPort);
+    }
+
+    /** Starts the platform stand-in and all upstreams. */
+    void startStandIns() throws IOException {
+        children.start(
+                PLATFORM, List.of("platform-stand-in", "--port", String.valueOf(platformPort)));
+        for (Place place : places) {
+            children.start(place.nodeId() + "-upstream", upstreamArguments(place));
+        }
+    }
+
+    /** Starts all nodes. */
+    void startNodes() throws IOException {
+        Path linkFile = directory.resolve("links.json");
+        Files.writeString(linkFile, Places.linkFile(deployment, places).toString());
+        for (Place place : places) {
+            children.start(place.nodeId(), nodeArguments(place, linkFile));
+        }
+    }
+
+    private List<String> upstreamArguments(Place place) {
+        Deployment.Service service = place.service();
+        return List.of(
+                "upstream-stand-in",
+                "--service=" + service.configuration().getName(),
+                "--port=" + place.upstreamPort(),
+                "--control-url=" + place.controlUrl(),
+                "--slots=" + service.slots(),
+                "--connections=" + service.connections(),
+                "--seed=" + place.basePort(),
+                "--service-milliseconds=" + service.serviceMilliseconds());
+    }
+
+    private List<String> nodeArguments(Place place, Path linkFile) {
+        return List.of(
+                "emulated-node",
+                "--link-file=" + linkFile,
+                "--node-id=" + place.nodeId(),
+                "--region=" + place.region(),
+                "--data-centre=" + place.dataCentre(),
+                "--http-port=" + place.httpPort(),
+                "--mesh-port=" + place.meshPort(),
+                "--gossip-port=" + place.gossipPort(),
+                "--control-port=" + place.controlPort(),
+                "--operator-port=" + place.operatorPort(),
+                "--table-service-url=" + platformUrl(),
+                "--object-store-url=" + platformUrl());
+    }
+
+    /** Waits until the platform and all upstreams answer. */
+    void awaitStandIns(long timeoutMilliseconds) throws IOException, InterruptedException {
+        List<String> urls = new ArrayList<>();
+        urls.add(platformUrl() + "/stand-in/counters");
+        places.forEach(place -> urls.add(place.upstreamUrl() + "/stand-in/counters"));
+        await(urls, timeoutMilliseconds);
+    }
+
+    /** Waits until all nodes take callers. */
+    void awaitNodes(long timeoutMilliseconds) throws IOException, InterruptedException {
+        await(
+                places.stream().map(place -> place.controlUrl() + "/ready").toList(),
+                timeoutMilliseconds);
+    }
+
+    private void await(List<String> urls, long timeoutMilliseconds)
+            throws IOException, InterruptedException {
+        long end = System.currentTimeMillis() + timeoutMilliseconds;
+        for (String url : urls) {
+            while (!answers(url)) {
+                if (System.currentTimeMillis() > end) {
+                    throw new IOException(
+                            "not ready in time: " + url + "; logs of all processes: " + directory);
+                }
+                Thread.sleep(POLL_MILLISECONDS);
+            }
+        }
+    }
+
+    private boolean answers(String url) {
+        try {
+            return client.get(url).status() == 200;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/damaskmoor/bench/link/NodeStarter.java
@@ -0,0 +1,17 @@
+package org.damaskmoor.bench.link;
+
+import java.util.List;
+import org.damaskmoor.mesh.ChannelCustomizer;
+
+/** Runs a node in this process. */
+@FunctionalInterface
+public interface NodeStarter {
+    /**
+     * Runs the node until it ends.
+     *
+     * @param flags the node's own flags
+     * @param customizer is given all channels between nodes
+     * @return the node's exit code
+     */
+    int run(List<String> flags, ChannelCustomizer customizer) throws Exception;
+}
--- a/bench/src/main/java/org/damaskmoor/bench/verification/Totals.java
+++ b/bench/src/main/java/org/damaskmoor/bench/verification/Totals.java
@@ -87,6 +87,11 @@
         return routed.milliseconds(percentile) - direct.milliseconds(percentile);
     }
 
+    /** Returns every broken promise. */
+    public List<Violation> violations() {
+        return violations;
+    }
+
     /** Returns the exit code that the run deserves. */
     public int exitCode() {
         boolean accounted = refusalsAccounted.orElse(refused(all)) == refused(all);
