--- a/bench/src/main/java/org/damaskmoor/bench/BenchMain.java
+++ b/bench/src/main/java/org/damaskmoor/bench/BenchMain.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import org.damaskmoor.bench.demo.DemoCommand;
+import org.damaskmoor.bench.demo.LoadCommand;
 import org.damaskmoor.bench.link.EmulatedNode;
 import org.damaskmoor.bench.link.NodeStarter;
 import org.damaskmoor.bench.platform.PlatformStandInCommand;
@@ -49,6 +50,7 @@
     private static Cli<Callable<Integer>> cli() {
         return Cli.<Callable<Integer>>builder("damaskmoor-bench")
                 .withCommand(DemoCommand.class)
+                .withCommand(LoadCommand.class)
                 .withCommand(PlatformStandInCommand.class)
                 .withCommand(UpstreamStandInCommand.class)
                 .build();
