--- a/bench/src/main/java/org/damaskmoor/bench/BenchMain.java
+++ b/bench/src/main/java/org/damaskmoor/bench/BenchMain.java
@@ -11,6 +11,7 @@
 import org.damaskmoor.bench.link.NodeStarter;
 import org.damaskmoor.bench.platform.PlatformStandInCommand;
 import org.damaskmoor.bench.upstream.UpstreamStandInCommand;
+import org.damaskmoor.node.NodeMain;
 
 /**
  * Entry point of the binary damaskmoor-bench: stand-ins, load callers and the demo.
@@ -22,9 +23,7 @@
     private static final int WRONG_FLAGS = 2;
 
     private static final NodeStarter NODE =
-            (flags, customizer) -> {
-                throw new UnsupportedOperationException("the node is not wired yet: " + flags);
-            };
+            (flags, customizer) -> NodeMain.run(flags.toArray(new String[0]), customizer);
 
     private BenchMain() {}
 
--- a/node/src/main/java/org/damaskmoor/node/NodeMain.java
+++ b/node/src/main/java/org/damaskmoor/node/NodeMain.java
@@ -3,46 +3,63 @@
 import com.github.rvesse.airline.SingleCommand;
 import com.github.rvesse.airline.parser.errors.ParseException;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.CountDownLatch;
 import org.damaskmoor.core.settings.SettingsException;
 import org.damaskmoor.mesh.ChannelCustomizer;
 import org.damaskmoor.schema.settings.NodeSettings;
 
 /** Entry point of the binary damaskmoor-node. */
 public final class NodeMain {
+    private static final int EXIT_PLANNED_STOP = 0;
     private static final int EXIT_NOT_STARTED = 1;
     private static final int EXIT_BAD_SETTING = 2;
 
     private NodeMain() {}
 
     public static void main(String[] arguments) {
-        run(arguments, ChannelCustomizer.NONE);
+        System.exit(run(arguments, ChannelCustomizer.NONE));
     }
 
-    /** Runs a node until it is told to stop. */
-    public static void run(String[] arguments, ChannelCustomizer customizer) {
+    /** Runs a node until it is told to stop; returns the exit code. */
+    public static int run(String[] arguments, ChannelCustomizer customizer) {
         NodeSettings settings;
         try {
             NodeCommand command = SingleCommand.singleCommand(NodeCommand.class).parse(arguments);
             if (command.showedHelp()) {
-                return;
+                return EXIT_PLANNED_STOP;
             }
             settings = command.settings(System.getenv());
         } catch (SettingsException | ParseException unusable) {
             System.err.println(unusable.getMessage());
-            System.exit(EXIT_BAD_SETTING);
-            return;
+            return EXIT_BAD_SETTING;
         }
         NodeLogging.configure(settings.getLogLevel());
-        start(new NodeProcess(settings, customizer));
+        return start(new NodeProcess(settings, customizer));
     }
 
-    private static void start(NodeProcess node) {
+    private static int start(NodeProcess node) {
         try {
             node.start().join();
         } catch (CompletionException failure) {
             System.err.println("The node could not start: " + failure.getCause().getMessage());
-            Runtime.getRuntime().halt(EXIT_NOT_STARTED);
+            return EXIT_NOT_STARTED;
+        }
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node), "stop"));
+        waitForSignal();
+        return EXIT_PLANNED_STOP;
+    }
+
+    /** A planned stop ends with 0, although a signal asked for it. */
+    private static void stop(NodeProcess node) {
+        node.stop().join();
+        Runtime.getRuntime().halt(EXIT_PLANNED_STOP);
+    }
+
+    private static void waitForSignal() {
+        try {
+            new CountDownLatch(1).await();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> node.stop().join(), "stop"));
     }
 }
--- a/node/src/main/java/org/damaskmoor/node/internal/control/ControlServer.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/control/ControlServer.java
@@ -68,7 +68,8 @@
         this.metrics = metrics;
         this.server =
                 HttpServer.builder(loop, routes())
-                        .withListenAddress(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
+                        .withListenAddress(
+                                new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
                         .build();
     }
 
--- a/node/src/main/java/org/damaskmoor/node/internal/http/CallerServer.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/http/CallerServer.java
@@ -35,7 +35,8 @@
     private final CallerHandler handler;
     private final LongSupplier clock;
     private final HttpServer server;
-    private final IdentityHashMap<HttpServerConnection, Runnable> openRequests = new IdentityHashMap<>();
+    private final IdentityHashMap<HttpServerConnection, Runnable> openRequests =
+            new IdentityHashMap<>();
     private boolean stopping;
 
     /**
