--- a/core/src/main/java/org/damaskmoor/core/configuration/internal/HostNames.java
+++ b/core/src/main/java/org/damaskmoor/core/configuration/internal/HostNames.java
@@ -13,7 +13,11 @@
 
     /** Where the host ends in a Host field: before the port. */
     static int endOf(String field) {
-        int end = field.startsWith("[") ? field.indexOf(']') + 1 : field.indexOf(':');
-        return end > 0 ? end : field.length();
+        int bracket = field.startsWith("[") ? field.indexOf(']') : -1;
+        if (bracket > 0) {
+            return bracket + 1;
+        }
+        int colon = field.indexOf(':');
+        return colon < 0 ? field.length() : colon;
     }
 }
