Repeat a missed refutation; spread news each tick; shorten news of the suspect

Ruled out: longer suspicion, for it only hides the fault. Change: a member that hears an older verdict on itself tells its record again; news leaves at each tick (100 ms); of suspect and dead members only what changed is told.

--- a/core/src/main/java/org/damaskmoor/core/membership/MembershipSettings.java
+++ b/core/src/main/java/org/damaskmoor/core/membership/MembershipSettings.java
@@ -33,6 +33,6 @@
     /** The settings that nodes run with. */
     public static MembershipSettings defaults() {
         return new MembershipSettings(
-                1_000, 300, 200, 3, 3, 3, 6, 3, 30_000, DAY_MILLISECONDS, 1_200);
+                1_000, 300, 100, 3, 3, 3, 6, 3, 30_000, DAY_MILLISECONDS, 1_200);
     }
 }
--- a/core/src/main/java/org/damaskmoor/core/membership/internal/Group.java
+++ b/core/src/main/java/org/damaskmoor/core/membership/internal/Group.java
@@ -75,9 +75,13 @@
     }
 
     /** Takes in what was heard of a member. */
-    void learn(MemberRecord record, boolean tellOnwards, long nowMilliseconds) {
-        if (isSelf(record.getNodeId())) {
-            learnOfSelf(record, nowMilliseconds);
+    void learn(MemberRecord heard, boolean tellOnwards, long nowMilliseconds) {
+        if (isSelf(heard.getNodeId())) {
+            learnOfSelf(heard, nowMilliseconds);
+            return;
+        }
+        MemberRecord record = complete(heard);
+        if (record == null) {
             return;
         }
         MemberTable.Change change = table.merge(record, nowMilliseconds);
@@ -97,6 +101,22 @@
         }
     }
 
+    /** Fills in what {@link Spread} left out; null when nothing is known of the member. */
+    private MemberRecord complete(MemberRecord heard) {
+        if (!heard.getRegion().isEmpty()) {
+            return heard;
+        }
+        Member member = table.find(heard.getNodeId());
+        return member == null
+                ? null
+                : member.record.toBuilder()
+                        .setIncarnation(heard.getIncarnation())
+                        .setRevision(heard.getRevision())
+                        .setState(heard.getState())
+                        .setSuspectedBy(heard.getSuspectedBy())
+                        .build();
+    }
+
     private void learnOfSelf(MemberRecord record, long nowMilliseconds) {
         if (record.getIncarnation() > self.getIncarnation()) {
             if (!superseded) {
@@ -106,13 +126,20 @@
             return;
         }
         boolean newer = RecordOrder.compare(record, self) > 0;
-        if (newer && self.getState() != MemberState.LEFT) {
+        if (!newer && isJudged(record)) {
+            spread.add(self);
+        } else if (newer && self.getState() != MemberState.LEFT) {
             self = self.toBuilder().setRevision(record.getRevision()).build();
             changeSelf(self.toBuilder(), nowMilliseconds);
             health.worse(1);
         }
     }
 
+    /** Whoever still tells this missed the refutation: it is told again. */
+    private static boolean isJudged(MemberRecord record) {
+        return record.getState() == MemberState.SUSPECT || record.getState() == MemberState.DEAD;
+    }
+
     private static Kind kindOf(MemberRecord former, MemberRecord record) {
         boolean wasPresent = former != null && Member.isPresent(former);
         return switch (record.getState()) {
--- a/core/src/main/java/org/damaskmoor/core/membership/internal/Protocol.java
+++ b/core/src/main/java/org/damaskmoor/core/membership/internal/Protocol.java
@@ -165,9 +165,12 @@
     }
 
     private void learn(MemberRecord record, boolean tellOnwards, long nowMilliseconds) {
+        boolean judged =
+                record.getState() == MemberState.SUSPECT || record.getState() == MemberState.DEAD;
         boolean complete =
                 !record.getNodeId().isEmpty()
                         && record.getIncarnation() > 0
+                        && (judged || !record.getRegion().isEmpty())
                         && record.getStateValue() >= MemberState.ALIVE_VALUE
                         && record.getStateValue() <= MemberState.LEFT_VALUE;
         if (complete) {
--- a/core/src/main/java/org/damaskmoor/core/membership/internal/Spread.java
+++ b/core/src/main/java/org/damaskmoor/core/membership/internal/Spread.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import org.damaskmoor.schema.gossip.GossipMessage;
 import org.damaskmoor.schema.gossip.MemberRecord;
+import org.damaskmoor.schema.gossip.MemberState;
 import org.damaskmoor.schema.gossip.RegionOpinion;
 
 /**
@@ -28,12 +29,32 @@
     }
 
     void add(MessageLite content) {
-        local.add(content);
+        MessageLite told = content instanceof MemberRecord member ? shorten(member) : content;
+        local.add(told);
         if (isForOtherRegions(content)) {
-            remote.values().forEach(queue -> queue.add(content));
+            remote.values().forEach(queue -> queue.add(told));
         }
     }
 
+    /**
+     * Of the suspect and the dead only what changed is told: when many fail at once this is most of
+     * the traffic, and the others know the rest.
+     */
+    private static MemberRecord shorten(MemberRecord member) {
+        boolean judged =
+                member.getState() == MemberState.SUSPECT || member.getState() == MemberState.DEAD;
+        if (!judged) {
+            return member;
+        }
+        return MemberRecord.newBuilder()
+                .setNodeId(member.getNodeId())
+                .setIncarnation(member.getIncarnation())
+                .setRevision(member.getRevision())
+                .setState(member.getState())
+                .setSuspectedBy(member.getSuspectedBy())
+                .build();
+    }
+
     private boolean isForOtherRegions(MessageLite content) {
         if (content instanceof MemberRecord member) {
             return member.getRegion().equals(ownRegion);
