--- a/spec/once/once.pml
+++ b/spec/once/once.pml
@@ -203,13 +203,18 @@
 #define TRULY_RETURNED(t) (!taken_by_upstream[t])
 #endif
 
+#define HAS(messages, a, t) (messages[a] && target_of[a] == t)
+
 proctype target(byte t) {
+    byte a = 0;
 end:
     do
-    :: atomic { called[0] && target_of[0] == t -> call_arrives(t, 0) }
-    :: atomic { called[1] && target_of[1] == t -> call_arrives(t, 1) }
-    :: atomic { sealed[0] && target_of[0] == t -> seal_arrives(t, 0) }
-    :: atomic { sealed[1] && target_of[1] == t -> seal_arrives(t, 1) }
+    :: atomic { HAS(called, 0, t) || HAS(called, 1, t) ->
+                if :: HAS(called, 0, t) -> a = 0 :: HAS(called, 1, t) -> a = 1 fi;
+                call_arrives(t, a); a = 0 }
+    :: atomic { HAS(sealed, 0, t) || HAS(sealed, 1, t) ->
+                if :: HAS(sealed, 0, t) -> a = 0 :: HAS(sealed, 1, t) -> a = 1 fi;
+                seal_arrives(t, a); a = 0 }
     :: atomic { in_queue[t] -> hand_over(t) }
     :: atomic { in_queue[t] -> in_queue[t] = false; ledger_refuse(t); reply_to_all_heard(t);
                 result = 0 }
