Keep refusing, shedding and long-running cases from misleading the choice

Cause: found by review and by new tests. A target that refuses at once looked idle; one long request kept a whole target out; a limit lowered by shedding never came back when traffic had moved away, neither at the target nor in what entries had heard; a target that once reported that it leaves stayed out. Ruled out: weighing refusals as failures, which would eject every target at a general overload. Change: refusals for want of capacity weigh as time, less than failures and without ejection; a lone age weighs half and at most ten service times; a lowered limit grows by one a second and a heard limit fades to the announced capacity; a SERVING report takes a LEAVING one back, with slow start.

--- a/core/src/main/java/org/damaskmoor/core/admission/internal/ConcurrencyLimit.java
+++ b/core/src/main/java/org/damaskmoor/core/admission/internal/ConcurrencyLimit.java
@@ -13,6 +13,8 @@
  * can still be refused as "not run" and a slow upstream with idle slots only gets slower. The slow
  * mean follows lasting changes, so that an upstream that has become slower for good gets its full
  * limit back. Only requests that the upstream itself sheds take the limit further down, to 1.
+ * Whatever lowered it, it grows by one each second in which nothing lowers it, so that an upstream
+ * to which hardly any request is sent any more is not left with a small limit for good.
  *
  * <p>Invariant: from 1 to the maximum. Not thread-safe.
  */
@@ -24,6 +26,7 @@
     private static final double SLOW_MEAN_RISE_WEIGHT = 0.01;
     private static final double SLOW_MEAN_FALL_WEIGHT = 0.1;
     private static final int SAMPLES_PER_INTERVAL = 20;
+    private static final long RECOVERY_INTERVAL_NANOSECONDS = TimeUnit.SECONDS.toNanos(1);
     private static final long SHED_INTERVAL_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(20);
 
     private int maximum = 1;
@@ -32,8 +35,10 @@
     private double sumNanoseconds;
     private int samples;
     private int mostInFlight;
+    private boolean lowered;
     private boolean shedSeen;
     private long shedAtNanoseconds;
+    private long changedAtNanoseconds;
 
     /** The limit in whole requests. */
     int value() {
@@ -47,6 +52,23 @@
         maximum = bounded;
     }
 
+    /** Lets time raise a lowered limit. */
+    void recover(long now) {
+        if (limit >= maximum) {
+            lowered = false;
+            return;
+        }
+        if (!lowered) {
+            lowered = true;
+            changedAtNanoseconds = now;
+        }
+        long intervals = (now - changedAtNanoseconds) / RECOVERY_INTERVAL_NANOSECONDS;
+        if (intervals > 0) {
+            limit = Math.min(maximum, limit + intervals);
+            changedAtNanoseconds += intervals * RECOVERY_INTERVAL_NANOSECONDS;
+        }
+    }
+
     /** A whole answer came while {@code inFlight} requests, itself included, were out. */
     void answered(long latencyNanoseconds, int inFlight) {
         sumNanoseconds += latencyNanoseconds;
@@ -68,6 +90,8 @@
         shedSeen = true;
         shedAtNanoseconds = now;
         limit = Math.max(1, limit * SHED_STEP);
+        lowered = true;
+        changedAtNanoseconds = now;
     }
 
     private void adapt(double fastMeanNanoseconds) {
--- a/core/src/main/java/org/damaskmoor/core/admission/internal/ServiceTime.java
+++ b/core/src/main/java/org/damaskmoor/core/admission/internal/ServiceTime.java
@@ -14,6 +14,9 @@
 final class ServiceTime {
     private static final double NEWS_WEIGHT = 0.1;
 
+    /** Some requests take long by nature; their age says only so much of the upstream. */
+    private static final double MOST_MEANS_OF_AGE = 10;
+
     private final Map<RequestId, Flight> flights = new HashMap<>();
     private double meanNanoseconds;
     private long sumOfStartsNanoseconds;
@@ -56,6 +59,7 @@
             return meanNanoseconds;
         }
         double age = (double) (count * now - sumOfStartsNanoseconds) / count;
-        return Math.max(meanNanoseconds, age);
+        double most = meanNanoseconds == 0 ? age : MOST_MEANS_OF_AGE * meanNanoseconds;
+        return Math.max(meanNanoseconds, Math.min(age, most));
     }
 }
--- a/core/src/main/java/org/damaskmoor/core/admission/internal/UpstreamAdmission.java
+++ b/core/src/main/java/org/damaskmoor/core/admission/internal/UpstreamAdmission.java
@@ -75,6 +75,7 @@
 
     @Override
     public Offer offer(Admission request, long now) {
+        limit.recover(now);
         WaitingRequest waiting = new WaitingRequest(request, sequence++, now);
         int ahead = queue.ahead(waiting);
         RefusalReason reason = reasonAgainst(request, ahead, now);
@@ -91,6 +92,7 @@
 
     @Override
     public NextAdmissions next(long now) {
+        limit.recover(now);
         List<Refusal> refused = new ArrayList<>();
         List<Admission> admitted = new ArrayList<>();
         for (WaitingRequest waiting : queue.removeAll(each -> reasonWaiting(each, now) != null)) {
@@ -138,6 +140,7 @@
 
     @Override
     public LoadReport loadReport(long now) {
+        limit.recover(now);
         double microseconds = serviceTime.typicalNanoseconds(now) / 1000;
         return LoadReport.newBuilder()
                 .setInFlight(serviceTime.inFlight())
--- a/core/src/main/java/org/damaskmoor/core/routing/internal/HeardLoad.java
+++ b/core/src/main/java/org/damaskmoor/core/routing/internal/HeardLoad.java
@@ -15,9 +15,13 @@
     /** Age at which half of the heard service time counts. */
     private static final double LATENCY_HALF_AGE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(200);
 
+    /** Age at which the heard limit counts half, and the announced capacity the other half. */
+    private static final double LIMIT_HALF_AGE_NANOSECONDS = TimeUnit.SECONDS.toNanos(2);
+
     private static final double NANOSECONDS_PER_MICROSECOND = 1000;
 
     private final RegionPrior prior;
+    private final int capacity;
     private int limit;
     private double loadOfOthers;
     private double latencyNanoseconds;
@@ -27,6 +31,7 @@
 
     HeardLoad(RegionPrior prior, int capacity) {
         this.prior = prior;
+        this.capacity = capacity;
         this.limit = capacity;
     }
 
@@ -41,15 +46,15 @@
         failureRate = report.getFailuresPerThousand() / 1000.0;
         heardAtNanoseconds = now;
         heard = true;
-        prior.learn(loadOfOthers / limit, latencyNanoseconds);
+        prior.learn(loadOfOthers / report.getLimit(), latencyNanoseconds);
     }
 
-    int limit() {
-        return limit;
+    double limit(long now) {
+        return capacity + weight(LIMIT_HALF_AGE_NANOSECONDS, now) * (limit - capacity);
     }
 
     double loadOfOthers(long now) {
-        double expected = prior.occupancyOfOthers() * limit;
+        double expected = prior.occupancyOfOthers() * limit(now);
         return expected + weight(LOAD_HALF_AGE_NANOSECONDS, now) * (loadOfOthers - expected);
     }
 
--- a/core/src/main/java/org/damaskmoor/core/routing/internal/FailureRate.java
+++ b/core/src/main/java/org/damaskmoor/core/routing/internal/RecentRate.java
@@ -3,11 +3,11 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Share of recent attempts at one target that failed, forgotten with time.
+ * Share of recent attempts at one target to which something happened, forgotten with time.
  *
  * <p>Invariant: between 0 and 1. Not thread-safe.
  */
-final class FailureRate {
+final class RecentRate {
     private static final double NEWS_WEIGHT = 0.2;
     private static final double HALF_LIFE_NANOSECONDS = TimeUnit.SECONDS.toNanos(1);
     private static final double NEGLIGIBLE = 0.001;
@@ -16,12 +16,11 @@
     private double rate;
     private long changedAtNanoseconds;
 
-    void succeeded(long now) {
-        change(0, now);
-    }
-
-    void failed(long now) {
-        change(1, now);
+    /** One more attempt ended; {@code happened} tells whether what is counted happened to it. */
+    void add(boolean happened, long now) {
+        double current = at(now);
+        rate = current + NEWS_WEIGHT * ((happened ? 1 : 0) - current);
+        changedAtNanoseconds = now;
     }
 
     double at(long now) {
@@ -31,10 +30,4 @@
         double age = Math.max(0, now - changedAtNanoseconds);
         return rate * Math.exp(-age / HALF_LIFE_NANOSECONDS * LOG_OF_TWO);
     }
-
-    private void change(double outcome, long now) {
-        double current = at(now);
-        rate = current + NEWS_WEIGHT * (outcome - current);
-        changedAtNanoseconds = now;
-    }
 }
--- a/core/src/main/java/org/damaskmoor/core/routing/internal/RegionHeadroom.java
+++ b/core/src/main/java/org/damaskmoor/core/routing/internal/RegionHeadroom.java
@@ -44,7 +44,7 @@
             TargetState target = region[i];
             if (target.available(now)) {
                 load += target.expectedLoad(now);
-                limit += target.limit() * target.share(now);
+                limit += target.limit(now) * target.share(now);
             }
         }
         return limit == 0 ? Double.MAX_VALUE : load / limit;
--- a/core/src/main/java/org/damaskmoor/core/routing/internal/ServiceRouter.java
+++ b/core/src/main/java/org/damaskmoor/core/routing/internal/ServiceRouter.java
@@ -132,6 +132,10 @@
             case DRAINING, STALE_INCARNATION -> state.leaves();
             case TARGET_UNREACHABLE -> state.unreachable(now);
             case UPSTREAM_UNREACHABLE -> failed(state, now);
+            case QUEUE_FULL, OVERLOADED, NODE_BUSY, DEADLINE_TOO_SHORT -> {
+                state.refused(now);
+                state.hear(load, now);
+            }
             default -> state.hear(load, now);
         }
     }
--- a/core/src/main/java/org/damaskmoor/core/routing/internal/TargetState.java
+++ b/core/src/main/java/org/damaskmoor/core/routing/internal/TargetState.java
@@ -12,20 +12,27 @@
  * All that an entry node knows of one incarnation of a target.
  *
  * <p>Expected completion is the round trip, plus the service time for each turn of the queue, plus
- * failures as time. Attempts that are out for long speak before any answer does: the estimate is
- * never below their mean age. Not thread-safe.
+ * failures and refusals as time. Attempts that are out for long speak before any answer does: the
+ * estimate is not below their mean age, within bounds. Not thread-safe.
  */
 final class TargetState implements Candidate {
     /** What a failure costs its caller: the time lost and the work of another attempt. */
     private static final double FAILURE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(100);
 
+    /** What a refusal costs: the way there and back, and a part of the retry budget. */
+    private static final double REFUSAL_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(20);
+
+    /** No age of a request weighs more than this many service times: it may be a long one. */
+    private static final double MOST_SERVICE_TIMES_OF_AGE = 10;
+
     /** The part of its limit that counts right after a cold start. */
     private static final double LEAST_SLOW_START_SHARE = 0.1;
 
     private final RegionPrior prior;
     private final Distance distance;
     private final HeardLoad heard;
-    private final FailureRate failures = new FailureRate();
+    private final RecentRate failures = new RecentRate();
+    private final RecentRate refusals = new RecentRate();
     private final EjectedShare ejected = new EjectedShare();
     private final Reachability reachability = new Reachability();
     private final long slowStartNanoseconds;
@@ -75,13 +82,14 @@
 
     @Override
     public double expectedNanoseconds(long now) {
-        double occupancy = (expectedLoad(now) + 1) / (heard.limit() * slowStartShare(now));
+        double occupancy = (expectedLoad(now) + 1) / (heard.limit(now) * slowStartShare(now));
         double service = heard.latencyNanoseconds(now);
-        double completion = Math.max(service * Math.max(1, occupancy), meanAge(now));
+        double completion = Math.max(service * Math.max(1, occupancy), meanAge(service, now));
         return distance.roundTripNanoseconds()
                 + completion
                 + service * occupancy
-                + failureNanoseconds(now);
+                + failureNanoseconds(now)
+                + refusalNanoseconds(now);
     }
 
     /** The hash of the node's name, by which keys are placed. */
@@ -89,8 +97,8 @@
         return hash;
     }
 
-    int limit() {
-        return heard.limit();
+    double limit(long now) {
+        return heard.limit(now);
     }
 
     boolean takesNewWork() {
@@ -151,13 +159,19 @@
     }
 
     void succeeded(long now) {
-        failures.succeeded(now);
+        failures.add(false, now);
+        refusals.add(false, now);
         ejected.succeeded(now);
         reachability.heard();
     }
 
     void failed(long now) {
-        failures.failed(now);
+        failures.add(true, now);
+    }
+
+    /** Refused for want of capacity. */
+    void refused(long now) {
+        refusals.add(true, now);
     }
 
     void hear(LoadReport report, long now) {
@@ -165,6 +179,9 @@
         heard.hear(report, ownInFlight, now);
         if (report.getState() == UpstreamState.LEAVING) {
             leaving = true;
+        } else if (leaving && report.getState() == UpstreamState.SERVING) {
+            leaving = false;
+            startCold(now);
         }
     }
 
@@ -191,13 +208,18 @@
         return Math.max(LEAST_SLOW_START_SHARE, part);
     }
 
-    /** Mean age of own attempts; sums wrap around together, so that their difference is exact. */
-    private double meanAge(long now) {
+    /**
+     * Mean age of own attempts and one of usual age, so that a lone one weighs half. Sums wrap
+     * around together, so that their difference is exact.
+     */
+    private double meanAge(double service, long now) {
         if (ownInFlight == 0) {
             return 0;
         }
-        double age = (double) (ownInFlight * now - sumOfSentNanoseconds) / ownInFlight;
-        return Math.max(0, age - distance.roundTripNanoseconds());
+        long ages = ownInFlight * now - sumOfSentNanoseconds;
+        long onTheWay = ownInFlight * distance.roundTripNanoseconds();
+        double mean = (ages - onTheWay + service) / (ownInFlight + 1);
+        return Math.min(mean, MOST_SERVICE_TIMES_OF_AGE * service);
     }
 
     /** Squared, so that a lone failure among many successes weighs little. */
@@ -208,4 +230,9 @@
         }
         return rate * rate * Math.max(FAILURE_NANOSECONDS, 10 * prior.latencyNanoseconds());
     }
+
+    private double refusalNanoseconds(long now) {
+        double rate = refusals.at(now);
+        return rate * rate * REFUSAL_NANOSECONDS;
+    }
 }
--- a/core/src/test/java/org/damaskmoor/core/admission/AdmissionControllerTest.java
+++ b/core/src/test/java/org/damaskmoor/core/admission/AdmissionControllerTest.java
@@ -197,6 +197,26 @@
         assertThat(fixture.limit()).isEqualTo(1);
     }
 
+    @Test
+    void should_restore_the_limit_with_time_when_hardly_any_request_comes() {
+        // given
+        AdmissionFixture fixture = new AdmissionFixture(10, 100);
+        for (int i = 0; i < 100; i++) {
+            fixture.offer();
+            fixture.advance(25);
+            fixture.finishOne(1, AdmissionOutcome.SHED);
+        }
+
+        // when
+        fixture.advance(4000);
+        int soon = fixture.limit();
+        fixture.advance(6000);
+
+        // then
+        assertThat(soon).isEqualTo(5);
+        assertThat(fixture.limit()).isEqualTo(10);
+    }
+
     @Test
     void should_report_a_stall_before_its_first_late_answer() {
         // given
--- a/core/src/test/java/org/damaskmoor/core/routing/RouterTest.java
+++ b/core/src/test/java/org/damaskmoor/core/routing/RouterTest.java
@@ -243,6 +243,61 @@
         assertThat(fixture.shares(CHOICES)).doesNotContainKey(targets.get(0));
     }
 
+    @Test
+    void should_not_draw_load_to_a_target_that_refuses_fast_while_others_are_busy() {
+        // given
+        List<Target> targets = near(4);
+        router.updateTargets(targets, fixture.now);
+        LoadReport idle = load(0, 5).toBuilder().setLimit(1).build();
+
+        // when
+        for (int i = 0; i < 20; i++) {
+            targets.forEach(target -> router.onLoadHeard(target.id(), load(20, 5), fixture.now));
+            router.onRefused(targets.get(0).id(), 0, RefusalReason.OVERLOADED, idle, fixture.now);
+        }
+
+        // then
+        assertThat(fixture.shares(CHOICES)).doesNotContainKey(targets.get(0));
+        fixture.advance(10_000);
+        Target busy = targets.get(1);
+        router.updateTargets(targets.subList(0, 2), fixture.now);
+        router.onLoadHeard(busy.id(), load(30, 5), fixture.now);
+        assertThat(fixture.shares(CHOICES)).doesNotContainKey(busy);
+    }
+
+    @Test
+    void should_choose_a_target_again_when_it_reports_that_it_no_longer_leaves() {
+        // given
+        Target target = near("a");
+        router.updateTargets(List.of(target), fixture.now);
+        LoadReport leaving = load(0, 5).toBuilder().setState(UpstreamState.LEAVING).build();
+
+        // when
+        router.onLoadHeard(target.id(), leaving, fixture.now);
+        boolean whileLeaving = fixture.choose().isPresent();
+        router.onLoadHeard(target.id(), load(0, 5), fixture.now);
+
+        // then
+        assertThat(whileLeaving).isFalse();
+        assertThat(fixture.choose().isPresent()).isTrue();
+    }
+
+    @Test
+    void should_not_let_one_long_request_keep_a_target_out_when_others_queue() {
+        // given
+        List<Target> targets = near(2);
+        router.updateTargets(targets, fixture.now);
+        router.onSent(targets.get(0).id(), fixture.now);
+
+        // when
+        fixture.advance(4000);
+        router.onLoadHeard(targets.get(0).id(), load(1, 5), fixture.now);
+        router.onLoadHeard(targets.get(1).id(), load(100, 5), fixture.now);
+
+        // then
+        assertThat(fixture.shares(CHOICES)).doesNotContainKey(targets.get(1));
+    }
+
     @Test
     void should_try_unreachable_targets_when_there_are_no_others() {
         // given
