Add leases with fencing numbers in the table service

Change: Lease is one candidate's state machine on a row; no clocks are compared. LeaseKeeper drives it and puts the lease's row, conditional on its tag, into each transaction made in the holder's name, so a replaced holder's writes fail.

--- /dev/null
+++ b/core/src/main/java/org/damaskmoor/core/lease/LeaseStep.java
@@ -0,0 +1,28 @@
+package org.damaskmoor.core.lease;
+
+import java.util.Objects;
+import java.util.Optional;
+import org.damaskmoor.schema.accounting.LeaseRecord;
+
+/** What a {@link Lease} asks its driver to do. Immutable and thread-safe. */
+public sealed interface LeaseStep {
+    /** Nothing is due. */
+    record Wait() implements LeaseStep {}
+
+    /** Read the row; answer with {@link Lease#onRead} or {@link Lease#onUnknown}. */
+    record Read() implements LeaseStep {}
+
+    /**
+     * Write the row; answer with {@link Lease#onWritten}, {@link Lease#onConditionFailed} or {@link
+     * Lease#onUnknown}.
+     *
+     * @param tag tag that the row must have; empty: it must not stand yet
+     * @param lease the new content
+     */
+    record Write(Optional<String> tag, LeaseRecord lease) implements LeaseStep {
+        public Write {
+            Objects.requireNonNull(tag, "tag");
+            Objects.requireNonNull(lease, "lease");
+        }
+    }
+}
