Report refusals by caller and reason, and service-level burn

Change: damaskmoor-report refusals and burn, as text, JSON or an HTML page with embedded PNG plots. Every option is checked before anything is read.

Ruled out: Gson for JSON, since it is only a runtime dependency; protobuf's Struct does it, so counts appear as 3.0.

--- /dev/null
+++ b/report/src/main/java/org/damaskmoor/report/internal/BadOptionException.java
@@ -0,0 +1,10 @@
+package org.damaskmoor.report.internal;
+
+/** A flag has a value that is not allowed. Immutable and thread-safe. */
+public final class BadOptionException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    public BadOptionException(String flag, String value, String allowed) {
+        super(flag + " has the value <" + value + ">, but allowed is " + allowed + ".");
+    }
+}
--- /dev/null
+++ b/report/src/main/java/org/damaskmoor/report/internal/OptionChecks.java
@@ -0,0 +1,58 @@
+package org.damaskmoor.report.internal;
+
+import java.net.URI;
+import java.net.URISyntaxException;
+import java.time.Instant;
+import java.time.format.DateTimeParseException;
+import java.util.List;
+
+/** Checks values of flags. Stateless and thread-safe. */
+final class OptionChecks {
+    private static final long MILLISECONDS_PER_MINUTE = 60_000;
+    private static final int NAME_CHARACTERS = 128;
+
+    private OptionChecks() {}
+
+    static URI url(String flag, String value) {
+        String allowed = "a URL such as http://127.0.0.1:9001, with host and port";
+        if (value == null || value.isEmpty()) {
+            throw new BadOptionException(flag, "", allowed);
+        }
+        try {
+            URI url = new URI(value);
+            boolean http = "http".equals(url.getScheme()) || "https".equals(url.getScheme());
+            if (http && url.getHost() != null && url.getQuery() == null) {
+                return url;
+            }
+        } catch (URISyntaxException malformed) {
+            throw new BadOptionException(flag, value, allowed);
+        }
+        throw new BadOptionException(flag, value, allowed);
+    }
+
+    static long epochMinute(String flag, String value, long otherwise) {
+        if (value == null) {
+            return otherwise;
+        }
+        try {
+            return Math.floorDiv(Instant.parse(value).toEpochMilli(), MILLISECONDS_PER_MINUTE);
+        } catch (DateTimeParseException malformed) {
+            throw new BadOptionException(flag, value, "an instant such as 2026-12-04T04:00:00Z");
+        }
+    }
+
+    static String oneOf(String flag, String value, List<String> allowed) {
+        if (!allowed.contains(value)) {
+            throw new BadOptionException(flag, value, "one of " + String.join(", ", allowed));
+        }
+        return value;
+    }
+
+    static String name(String flag, String value) {
+        if (value != null && (value.isBlank() || value.length() > NAME_CHARACTERS)) {
+            throw new BadOptionException(
+                    flag, value, "a name of 1 to " + NAME_CHARACTERS + " characters");
+        }
+        return value;
+    }
+}
--- /dev/null
+++ b/report/src/test/java/org/damaskmoor/report/internal/RenderersTest.java
@@ -0,0 +1,50 @@
+package org.damaskmoor.report.internal;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.Struct;
+import com.google.protobuf.util.JsonFormat;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class RenderersTest {
+    private static final ReportPage PAGE =
+            new ReportPage(
+                    "Refusals <now>",
+                    List.of(
+                            new ReportPage.Table(
+                                    "refusals",
+                                    List.of("caller", "refusals"),
+                                    List.of(List.of("a&b", 3L)))),
+                    List.of(
+                            new ReportPage.Plot(
+                                    "by caller", "refusals", List.of("a&b"), List.of(3.0))));
+
+    @Test
+    void should_align_columns_as_text() {
+        assertThat(Renderers.text(PAGE))
+                .isEqualTo("Refusals <now>\n\nrefusals\ncaller  refusals\na&b     3\n");
+    }
+
+    @Test
+    void should_write_one_object_per_row_in_json() throws InvalidProtocolBufferException {
+        // when
+        Struct.Builder parsed = Struct.newBuilder();
+        JsonFormat.parser().merge(Renderers.json(PAGE), parsed);
+
+        // then
+        Struct row =
+                parsed.getFieldsOrThrow("refusals").getListValue().getValues(0).getStructValue();
+        assertThat(row.getFieldsOrThrow("refusals").getNumberValue()).isEqualTo(3);
+        assertThat(row.getFieldsOrThrow("caller").getStringValue()).isEqualTo("a&b");
+        assertThat(row.getFieldsCount()).isEqualTo(2);
+    }
+
+    @Test
+    void should_escape_names_and_embed_plots_in_html() {
+        assertThat(Renderers.html(PAGE)).contains("<td>a&amp;b</td>");
+        assertThat(Renderers.html(PAGE)).contains("Refusals &lt;now&gt;");
+        assertThat(Renderers.html(PAGE)).contains("data:image/png;base64,");
+    }
+}
