--- a/core/src/main/java/org/damaskmoor/core/accounting/ObjectWriteQueue.java
+++ b/core/src/main/java/org/damaskmoor/core/accounting/ObjectWriteQueue.java
@@ -12,7 +12,7 @@
  * written or stood already; the pause after failures doubles up to a bound. Whoever adds bounds the
  * length. Not thread-safe.
  */
-public final class ObjectWriteQueue {
+public final class ObjectWriteQueue implements ObjectWrites {
     private static final int LONGEST_PAUSE_FACTOR = 64;
 
     private record Batch(ArrayDeque<NamedObject> objects, Runnable whenWritten) {}
@@ -42,7 +42,7 @@
         finishBatches();
     }
 
-    /** The object to write now, if any; answer with {@link #onWritten} or {@link #onFailed}. */
+    @Override
     public Optional<NamedObject> next(long nowNanoseconds) {
         boolean tooEarly = paused && nowNanoseconds - notBeforeNanoseconds < 0;
         if (inFlight || batches.isEmpty() || tooEarly) {
@@ -52,7 +52,7 @@
         return Optional.of(batches.peek().objects().peek());
     }
 
-    /** The object in flight stands, written now or before. */
+    @Override
     public void onWritten() {
         inFlight = false;
         paused = false;
@@ -61,7 +61,7 @@
         finishBatches();
     }
 
-    /** The object in flight could not be written, or it is unknown whether it was. */
+    @Override
     public void onFailed(long nowNanoseconds) {
         inFlight = false;
         paused = true;
--- a/core/src/main/java/org/damaskmoor/core/accounting/RefusalFlusher.java
+++ b/core/src/main/java/org/damaskmoor/core/accounting/RefusalFlusher.java
@@ -23,7 +23,7 @@
  *
  * <p>Invariant: a group is reported as flushed only when all of its objects stand. Not thread-safe.
  */
-public final class RefusalFlusher {
+public final class RefusalFlusher implements ObjectWrites {
     private static final long DEGRADED_INTERVAL_NANOSECONDS = TimeUnit.SECONDS.toNanos(5);
 
     private final RefusalWriter writer;
@@ -77,17 +77,17 @@
                 .ifPresent(group -> queue.add(RefusalObjects.of(group), writer::onFlushed));
     }
 
-    /** The object to write now, if any. */
+    @Override
     public Optional<NamedObject> next(long nowNanoseconds) {
         return queue.next(nowNanoseconds);
     }
 
-    /** The object in flight stands, written now or before. */
+    @Override
     public void onWritten() {
         queue.onWritten();
     }
 
-    /** The object in flight could not be written, or it is unknown whether it was. */
+    @Override
     public void onFailed(long nowNanoseconds) {
         queue.onFailed(nowNanoseconds);
     }
--- a/core/src/main/java/org/damaskmoor/core/accounting/RequestFlusher.java
+++ b/core/src/main/java/org/damaskmoor/core/accounting/RequestFlusher.java
@@ -21,7 +21,7 @@
  * its requests are in no other flush. Names: {@code requests/{epoch
  * hour}/{node}/{incarnation}/{sequence}}. Not thread-safe.
  */
-public final class RequestFlusher {
+public final class RequestFlusher implements ObjectWrites {
     /** Start of the names of all request objects. */
     public static final String PREFIX = "requests/";
 
@@ -118,17 +118,17 @@
         return new NamedObject(name, object.build().toByteString());
     }
 
-    /** The object to write now, if any. */
+    @Override
     public Optional<NamedObject> next(long nowNanoseconds) {
         return queue.next(nowNanoseconds);
     }
 
-    /** The object in flight stands, written now or before. */
+    @Override
     public void onWritten() {
         queue.onWritten();
     }
 
-    /** The object in flight could not be written, or it is unknown whether it was. */
+    @Override
     public void onFailed(long nowNanoseconds) {
         queue.onFailed(nowNanoseconds);
     }
