--- a/core/src/main/java/org/damaskmoor/core/accounting/RefusalFlusher.java
+++ b/core/src/main/java/org/damaskmoor/core/accounting/RefusalFlusher.java
@@ -18,13 +18,13 @@
  * because the first flush of each is at a random time. While the store is down one closed and one
  * open group are kept, each folded at its bound.
  *
- * <p>While no peer stores the node's refusals, they are flushed every five seconds, since then they
- * have no second copy.
+ * <p>While no peer stores the node's refusals, they are flushed every 15 seconds, since then they
+ * have no second copy; 2,800 such nodes write about 190 objects a second.
  *
  * <p>Invariant: a group is reported as flushed only when all of its objects stand. Not thread-safe.
  */
 public final class RefusalFlusher implements ObjectWrites {
-    private static final long DEGRADED_INTERVAL_NANOSECONDS = TimeUnit.SECONDS.toNanos(5);
+    private static final long DEGRADED_INTERVAL_NANOSECONDS = TimeUnit.SECONDS.toNanos(15);
 
     private final RefusalWriter writer;
     private final RefusalBuddy buddy;
