--- a/mesh/src/main/java/org/damaskmoor/mesh/MeshTransport.java
+++ b/mesh/src/main/java/org/damaskmoor/mesh/MeshTransport.java
@@ -21,11 +21,11 @@
     void send(MeshPeer peer, MeshFrame frame);
 
     /**
-     * Sends a frame over a connection that was opened after the given time, opening one when there
-     * is none; it then replaces the current one. For frames that must not depend on a connection
-     * that may have gone silent.
+     * Sends a frame over a connection that was opened or heard from after the given time, opening
+     * one when there is none; it then replaces the current one. For frames that must not depend on
+     * a connection that may have gone silent.
      *
-     * @param openedAfterNanoseconds a time on the monotonic clock
+     * @param aliveAfterNanoseconds a time on the monotonic clock
      */
-    void sendOverNewerConnection(MeshPeer peer, MeshFrame frame, long openedAfterNanoseconds);
+    void sendOverLiveConnection(MeshPeer peer, MeshFrame frame, long aliveAfterNanoseconds);
 }
--- a/mesh/src/main/java/org/damaskmoor/mesh/NettyMeshTransport.java
+++ b/mesh/src/main/java/org/damaskmoor/mesh/NettyMeshTransport.java
@@ -29,7 +29,7 @@
     private static final long STOP_QUIET_MILLISECONDS = 0;
     private static final long STOP_TIMEOUT_MILLISECONDS = 2_000;
 
-    private record Outgoing(MeshPeer peer, MeshFrame frame, long openedAfterNanoseconds) {}
+    private record Outgoing(MeshPeer peer, MeshFrame frame, long aliveAfterNanoseconds) {}
 
     private final MeshSettings settings;
     private final MeshListener listener;
@@ -114,9 +114,8 @@
     }
 
     @Override
-    public void sendOverNewerConnection(
-            MeshPeer peer, MeshFrame frame, long openedAfterNanoseconds) {
-        enqueue(new Outgoing(peer, frame, openedAfterNanoseconds));
+    public void sendOverLiveConnection(MeshPeer peer, MeshFrame frame, long aliveAfterNanoseconds) {
+        enqueue(new Outgoing(peer, frame, aliveAfterNanoseconds));
     }
 
     private void enqueue(Outgoing message) {
@@ -135,7 +134,7 @@
                 links.computeIfAbsent(
                         message.peer().nodeId(),
                         nodeId -> new PeerLinks(nodeId, settings, listener, initializer, loop));
-        peerLinks.send(message.peer().address(), message.frame(), message.openedAfterNanoseconds());
+        peerLinks.send(message.peer().address(), message.frame(), message.aliveAfterNanoseconds());
     }
 
     private void flushAll() {
--- a/mesh/src/main/java/org/damaskmoor/mesh/internal/LinkHandler.java
+++ b/mesh/src/main/java/org/damaskmoor/mesh/internal/LinkHandler.java
@@ -68,6 +68,16 @@
         return new LinkHandler(hello, expectedPeer, listener, silenceMilliseconds, onGone);
     }
 
+    /** The handler of a connection between two nodes. */
+    static LinkHandler of(Channel channel) {
+        return channel.pipeline().get(LinkHandler.class);
+    }
+
+    /** When something was heard last, or the connection was opened. Event loop only. */
+    long lastHeardNanoseconds() {
+        return lastHeardNanoseconds;
+    }
+
     @Override
     public NodeId peer() {
         return peer;
--- a/mesh/src/main/java/org/damaskmoor/mesh/internal/PeerLinks.java
+++ b/mesh/src/main/java/org/damaskmoor/mesh/internal/PeerLinks.java
@@ -26,7 +26,7 @@
  * opened.
  */
 public final class PeerLinks {
-    /** Stands for "opened at any time". */
+    /** Stands for any connection, however long nothing was heard on it. */
     public static final long ANY_CONNECTION = Long.MIN_VALUE;
 
     private final NodeId peer;
@@ -37,7 +37,6 @@
     private final Queue<MeshFrame> waiting = new ArrayDeque<>();
     private final Map<Channel, Long> replacedAt = new HashMap<>();
     private Channel current;
-    private long currentOpenedNanoseconds;
     private ChannelFuture opening;
     private boolean unflushed;
 
@@ -55,8 +54,8 @@
     }
 
     /** Writes the frame, or keeps it until the connection being opened is ready. */
-    public void send(InetSocketAddress address, MeshFrame frame, long openedAfterNanoseconds) {
-        if (opening == null && isUsable(openedAfterNanoseconds)) {
+    public void send(InetSocketAddress address, MeshFrame frame, long aliveAfterNanoseconds) {
+        if (opening == null && isUsable(aliveAfterNanoseconds)) {
             write(current, frame);
             return;
         }
@@ -83,11 +82,12 @@
         return opening == null && waiting.isEmpty() && (current == null || !current.isOpen());
     }
 
-    private boolean isUsable(long openedAfterNanoseconds) {
-        boolean newEnough =
-                openedAfterNanoseconds == ANY_CONNECTION
-                        || currentOpenedNanoseconds - openedAfterNanoseconds > 0;
-        return current != null && current.isActive() && newEnough;
+    private boolean isUsable(long aliveAfterNanoseconds) {
+        if (current == null || !current.isActive()) {
+            return false;
+        }
+        return aliveAfterNanoseconds == ANY_CONNECTION
+                || LinkHandler.of(current).lastHeardNanoseconds() - aliveAfterNanoseconds > 0;
     }
 
     private void open(InetSocketAddress address) {
@@ -124,7 +124,6 @@
             replacedAt.put(current, now);
         }
         current = opened;
-        currentOpenedNanoseconds = now;
     }
 
     private void failWaiting(Throwable cause) {
@@ -144,7 +143,8 @@
         }
         Long replaced = replacedAt.remove(channel);
         long lastUsed = replaced == null ? System.nanoTime() : replaced;
-        MeshException failure = new MeshException(Step.READ, peer, "the connection is gone", cause);
+        MeshException failure =
+                new MeshException(Step.READ, peer, "the connection is gone, cause=" + cause, cause);
         listener.onLinkLost(peer, lastUsed, failure);
     }
 
--- a/node/src/main/java/org/damaskmoor/node/internal/entry/EntryExchange.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/EntryExchange.java
@@ -237,7 +237,7 @@
         SentAttempt sent = attempts.get(attempt.attempt());
         MeshFrame frame =
                 EntryFrames.seal(attempt, target, template.call().getDeadlineEpochMilliseconds());
-        environment.carrier().sendOverNewerConnection(target.node(), frame, sent.sentNanoseconds());
+        environment.carrier().sendOverLiveConnection(target.node(), frame, sent.sentNanoseconds());
         sent.startTimer(
                 environment.timers(),
                 environment.acceptanceTimeoutMilliseconds(),
--- a/node/src/main/java/org/damaskmoor/node/internal/entry/MeshCarrier.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/MeshCarrier.java
@@ -53,21 +53,20 @@
     }
 
     @Override
-    public void sendOverNewerConnection(
-            NodeId target, MeshFrame frame, long openedAfterNanoseconds) {
+    public void sendOverLiveConnection(NodeId target, MeshFrame frame, long aliveAfterNanoseconds) {
         if (target.equals(self)) {
             sendToSelf(frame);
             return;
         }
         members.peer(target)
                 .ifPresentOrElse(
-                        peer -> sendOverNewerConnection(peer, frame, openedAfterNanoseconds),
+                        peer -> sendOverLiveConnection(peer, frame, aliveAfterNanoseconds),
                         () -> gone(frame));
     }
 
-    private void sendOverNewerConnection(
-            MeshPeer peer, MeshFrame frame, long openedAfterNanoseconds) {
-        mesh.sendOverNewerConnection(peer, frame, openedAfterNanoseconds);
+    private void sendOverLiveConnection(
+            MeshPeer peer, MeshFrame frame, long aliveAfterNanoseconds) {
+        mesh.sendOverLiveConnection(peer, frame, aliveAfterNanoseconds);
     }
 
     private void sendToSelf(MeshFrame frame) {
--- a/node/src/main/java/org/damaskmoor/node/internal/entry/TargetCarrier.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/TargetCarrier.java
@@ -14,10 +14,10 @@
     void send(NodeId target, MeshFrame frame);
 
     /**
-     * Sends a frame over a connection that was opened after the given time, so that it doesn't
-     * depend on one that may have gone silent.
+     * Sends a frame over a connection that was opened or heard from after the given time, so that
+     * it doesn't depend on one that may have gone silent.
      *
-     * @param openedAfterNanoseconds a time on the monotonic clock
+     * @param aliveAfterNanoseconds a time on the monotonic clock
      */
-    void sendOverNewerConnection(NodeId target, MeshFrame frame, long openedAfterNanoseconds);
+    void sendOverLiveConnection(NodeId target, MeshFrame frame, long aliveAfterNanoseconds);
 }
