--- a/bench/src/main/java/org/damaskmoor/bench/BenchMain.java
+++ b/bench/src/main/java/org/damaskmoor/bench/BenchMain.java
@@ -5,12 +5,14 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
 import org.damaskmoor.bench.demo.DemoCommand;
 import org.damaskmoor.bench.demo.LoadCommand;
 import org.damaskmoor.bench.link.EmulatedNode;
-import org.damaskmoor.bench.link.NodeStarter;
 import org.damaskmoor.bench.platform.PlatformStandInCommand;
 import org.damaskmoor.bench.upstream.UpstreamStandInCommand;
+import org.damaskmoor.mesh.ChannelCustomizer;
+import org.damaskmoor.node.NodeMain;
 
 /**
  * Entry point of the binary damaskmoor-bench: stand-ins, load callers and the demo.
@@ -21,11 +23,6 @@
     private static final int FAILED = 1;
     private static final int WRONG_FLAGS = 2;
 
-    private static final NodeStarter NODE =
-            (flags, customizer) -> {
-                throw new UnsupportedOperationException("the node is not wired yet: " + flags);
-            };
-
     private BenchMain() {}
 
     public static void main(String[] arguments) {
@@ -35,7 +32,7 @@
     private static int run(String[] arguments) {
         try {
             if (arguments.length > 0 && arguments[0].equals(EmulatedNode.NAME)) {
-                return new EmulatedNode(NODE).run(List.of(arguments).subList(1, arguments.length));
+                return new EmulatedNode(BenchMain::runNode).run(List.of(arguments).subList(1, arguments.length));
             }
             return cli().parse(arguments).call();
         } catch (ParseException e) {
@@ -47,6 +44,14 @@
         }
     }
 
+    /** Runs the node until this process is told to end; the node stops in a shutdown hook. */
+    private static int runNode(List<String> flags, ChannelCustomizer customizer)
+            throws InterruptedException {
+        NodeMain.run(flags.toArray(String[]::new), customizer);
+        new CountDownLatch(1).await();
+        return FAILED;
+    }
+
     private static Cli<Callable<Integer>> cli() {
         return Cli.<Callable<Integer>>builder("damaskmoor-bench")
                 .withCommand(DemoCommand.class)
--- a/bench/src/main/java/org/damaskmoor/bench/demo/ChildProcesses.java
+++ b/bench/src/main/java/org/damaskmoor/bench/demo/ChildProcesses.java
@@ -57,6 +57,11 @@
         return running.get(name).isAlive();
     }
 
+    /** Returns the names of processes that ended. */
+    synchronized List<String> ended() {
+        return running.keySet().stream().filter(name -> !alive(name)).toList();
+    }
+
     /** Ends the process at once, as the loss of its VM would. */
     synchronized void kill(String name) {
         running.get(name).destroyForcibly();
--- a/bench/src/main/java/org/damaskmoor/bench/demo/Site.java
+++ b/bench/src/main/java/org/damaskmoor/bench/demo/Site.java
@@ -113,15 +113,22 @@
         long end = System.currentTimeMillis() + timeoutMilliseconds;
         for (String url : urls) {
             while (!answers(url)) {
-                if (System.currentTimeMillis() > end) {
-                    throw new IOException(
-                            "not ready in time: " + url + "; logs of all processes: " + directory);
-                }
+                checkStarting(url, end);
                 Thread.sleep(POLL_MILLISECONDS);
             }
         }
     }
 
+    private void checkStarting(String url, long endMilliseconds) throws IOException {
+        List<String> ended = children.ended();
+        if (!ended.isEmpty()) {
+            throw new IOException("ended while starting: " + ended + "; logs: " + directory);
+        }
+        if (System.currentTimeMillis() > endMilliseconds) {
+            throw new IOException("not ready in time: " + url + "; logs: " + directory);
+        }
+    }
+
     private boolean answers(String url) {
         try {
             return client.get(url).status() == 200;
