--- a/bench/src/main/java/org/damaskmoor/bench/BenchMain.java
+++ b/bench/src/main/java/org/damaskmoor/bench/BenchMain.java
@@ -8,9 +8,9 @@
 import org.damaskmoor.bench.demo.DemoCommand;
 import org.damaskmoor.bench.demo.LoadCommand;
 import org.damaskmoor.bench.link.EmulatedNode;
-import org.damaskmoor.bench.link.NodeStarter;
 import org.damaskmoor.bench.platform.PlatformStandInCommand;
 import org.damaskmoor.bench.upstream.UpstreamStandInCommand;
+import org.damaskmoor.mesh.ChannelCustomizer;
 import org.damaskmoor.node.NodeMain;
 
 /**
@@ -22,9 +22,6 @@
     private static final int FAILED = 1;
     private static final int WRONG_FLAGS = 2;
 
-    private static final NodeStarter NODE =
-            (flags, customizer) -> NodeMain.run(flags.toArray(new String[0]), customizer);
-
     private BenchMain() {}
 
     public static void main(String[] arguments) {
@@ -34,7 +31,8 @@
     private static int run(String[] arguments) {
         try {
             if (arguments.length > 0 && arguments[0].equals(EmulatedNode.NAME)) {
-                return new EmulatedNode(NODE).run(List.of(arguments).subList(1, arguments.length));
+                return new EmulatedNode(BenchMain::runNode)
+                        .run(List.of(arguments).subList(1, arguments.length));
             }
             return cli().parse(arguments).call();
         } catch (ParseException e) {
@@ -46,6 +44,11 @@
         }
     }
 
+    /** Runs the node until this process is told to end; the node stops in a shutdown hook. */
+    private static int runNode(List<String> flags, ChannelCustomizer customizer) {
+        return NodeMain.run(flags.toArray(String[]::new), customizer);
+    }
+
     private static Cli<Callable<Integer>> cli() {
         return Cli.<Callable<Integer>>builder("damaskmoor-bench")
                 .withCommand(DemoCommand.class)
