--- a/mesh/src/main/java/org/damaskmoor/mesh/internal/LinkHandler.java
+++ b/mesh/src/main/java/org/damaskmoor/mesh/internal/LinkHandler.java
@@ -1,5 +1,6 @@
 package org.damaskmoor.mesh.internal;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -25,6 +26,7 @@
  * #send}.
  */
 final class LinkHandler extends SimpleChannelInboundHandler<MeshFrame> implements MeshLink {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int IDLE_CLOSE_MILLISECONDS = 60_000;
     private static final MeshFrame PROBE =
             MeshFrame.newBuilder().setLoadProbe(LoadProbe.getDefaultInstance()).build();
@@ -187,6 +189,7 @@
     }
 
     private void fail(ChannelHandlerContext context, Throwable cause) {
+        logger.atWarning().log("event=link-failed step=READ peer=%s cause=%s", peer, cause);
         failure = cause;
         context.close();
     }
