Let the demo take a free block of ports; mend lint

Two demos on one machine met on port 21000: the second one's platform stand-in could not bind, and the first one's answered (seen: status 412 on the first write). Default is now the first free block.

--- a/bench/src/main/java/org/damaskmoor/bench/BenchMain.java
+++ b/bench/src/main/java/org/damaskmoor/bench/BenchMain.java
@@ -32,7 +32,8 @@
     private static int run(String[] arguments) {
         try {
             if (arguments.length > 0 && arguments[0].equals(EmulatedNode.NAME)) {
-                return new EmulatedNode(BenchMain::runNode).run(List.of(arguments).subList(1, arguments.length));
+                return new EmulatedNode(BenchMain::runNode)
+                        .run(List.of(arguments).subList(1, arguments.length));
             }
             return cli().parse(arguments).call();
         } catch (ParseException e) {
--- a/bench/src/main/java/org/damaskmoor/bench/demo/DemoCommand.java
+++ b/bench/src/main/java/org/damaskmoor/bench/demo/DemoCommand.java
@@ -23,8 +23,8 @@
     @Option(name = "--examples", description = "Directory of the deployments' files")
     private String examples = "examples";
 
-    @Option(name = "--base-port", description = "First of the ports in use")
-    private int basePort = 21_000;
+    @Option(name = "--base-port", description = "First port; 0 for the first free block")
+    private int basePort;
 
     @Option(name = "--seed", description = "Seed of the load")
     private long seed = 1;
@@ -44,7 +44,8 @@
             Path directory, ChildProcesses children, BlockingClient client, Progress progress)
             throws IOException {
         Deployment sizes = Deployment.read(Path.of(examples, deployment + ".json"));
-        Site site = new Site(sizes, basePort, directory, children, client);
+        int firstPort = basePort == 0 ? PortBlocks.firstFree(Places.ports(sizes)) : basePort;
+        Site site = new Site(sizes, firstPort, directory, children, client);
         return new Demo(
                 sizes,
                 site,
--- a/bench/src/main/java/org/damaskmoor/bench/demo/Places.java
+++ b/bench/src/main/java/org/damaskmoor/bench/demo/Places.java
@@ -28,6 +28,12 @@
         return places;
     }
 
+    /** Returns how many ports a deployment takes, from its base port on. */
+    static int ports(Deployment deployment) {
+        int upstreams = deployment.services().stream().mapToInt(Service::upstreams).sum();
+        return Place.PORTS * (upstreams + 1);
+    }
+
     /** Returns the link file that tells the nodes where every port stands. */
     static JsonObject linkFile(Deployment deployment, List<Place> places) {
         JsonObject ports = new JsonObject();
--- a/bench/src/main/java/org/damaskmoor/bench/link/LinkReading.java
+++ b/bench/src/main/java/org/damaskmoor/bench/link/LinkReading.java
@@ -10,7 +10,7 @@
  * <p>A file that can't be read leaves the links as they are. Run by one thread.
  */
 final class LinkReading implements Runnable {
-    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private final Path path;
     private final LinkTable links;
@@ -31,7 +31,7 @@
         try {
             links.change(EmulatedNode.read(path));
         } catch (IOException | IllegalArgumentException e) {
-            logger.atWarning().log("event=link-file-not-read path=%s cause=%s", path, e);
+            LOGGER.atWarning().log("event=link-file-not-read path=%s cause=%s", path, e);
         }
     }
 }
--- a/bench/src/main/java/org/damaskmoor/bench/upstream/Announcer.java
+++ b/bench/src/main/java/org/damaskmoor/bench/upstream/Announcer.java
@@ -19,7 +19,7 @@
     /** What stays the same in every announcement. */
     public record Upstream(String service, int port, int slots, int connections) {}
 
-    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final long INTERVAL_MILLISECONDS = 500;
 
     private final NioReactor reactor;
@@ -53,7 +53,7 @@
         client.request(request)
                 .whenException(
                         cause ->
-                                logger.atFine().log(
+                                LOGGER.atFine().log(
                                         "event=announce-failed peer=%s cause=%s",
                                         controlUrl, cause));
     }
--- a/bench/src/test/java/org/damaskmoor/bench/link/LinkFileTest.java
+++ b/bench/src/test/java/org/damaskmoor/bench/link/LinkFileTest.java
@@ -11,10 +11,12 @@
 class LinkFileTest {
     private static final String BERN =
             """
-            {"data_centres": {"bern-nord": "mittelland", "bern-sued": "mittelland", "spiez": "oberland"},
+            {"data_centres": {"bern-nord": "mittelland", "bern-sued": "mittelland",
+              "spiez": "oberland"},
              "ports": {"7400": "bern-nord", "7500": "bern-sued", "7600": "spiez"},
              "between_data_centres": {"delay_milliseconds": 1},
-             "between_regions": {"delay_milliseconds": 30, "bits_per_second": 30000000}, "cuts": [CUTS]}
+             "between_regions": {"delay_milliseconds": 30, "bits_per_second": 30000000},
+             "cuts": [CUTS]}
             """;
 
     private static LinkFile file(String cuts) {
--- a/bench/src/test/java/org/damaskmoor/bench/platform/PlatformServletTest.java
+++ b/bench/src/test/java/org/damaskmoor/bench/platform/PlatformServletTest.java
@@ -76,8 +76,10 @@
                         url + "/transactions",
                         """
                         {"operations": [
-                          {"table": "claims", "key": "free", "if_none_match": true, "value": "eA=="},
-                          {"table": "claims", "key": "taken", "if_none_match": true, "value": "eA=="}
+                          {"table": "claims", "key": "free",
+                           "if_none_match": true, "value": "eA=="},
+                          {"table": "claims", "key": "taken",
+                           "if_none_match": true, "value": "eA=="}
                         ]}
                         """);
 
