Write frames to a new connection only after its first frame

Ruled out: the emulated link (the same without one), silence checks (closing side was the peer), CPU load. Test: NettyMeshTransportTest.should_carry_every_frame_in_order... fails before, passes after.

--- a/mesh/src/main/java/org/damaskmoor/mesh/internal/PeerLinks.java
+++ b/mesh/src/main/java/org/damaskmoor/mesh/internal/PeerLinks.java
@@ -101,9 +101,10 @@
                                 (int) settings.connectTimeout().toMillis())
                         .handler(initializer.forOpened(peer, address, this::onGone))
                         .connect(address);
-        opening.addListener(done -> onOpened((ChannelFuture) done));
+        opening.addListener(done -> loop.execute(() -> onOpened((ChannelFuture) done)));
     }
 
+    /** Runs after the channel became active, so that its first frame has been written. */
     private void onOpened(ChannelFuture future) {
         opening = null;
         if (!future.isSuccess()) {
