--- a/node/src/main/java/org/damaskmoor/node/NodeProcess.java
+++ b/node/src/main/java/org/damaskmoor/node/NodeProcess.java
@@ -4,8 +4,6 @@
 import com.google.common.flogger.FluentLogger;
 import java.net.InetSocketAddress;
 import java.net.URI;
-import java.time.Duration;
-import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -15,24 +13,20 @@
 import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.core.id.RegionName;
 import org.damaskmoor.core.membership.MembershipProtocol;
-import org.damaskmoor.core.routing.RoutingOptions;
 import org.damaskmoor.mesh.ChannelCustomizer;
 import org.damaskmoor.mesh.MeshLink;
-import org.damaskmoor.mesh.MeshSettings;
 import org.damaskmoor.mesh.NettyMeshTransport;
 import org.damaskmoor.mesh.gossip.GossipTransport;
+import org.damaskmoor.node.internal.NodeParameters;
 import org.damaskmoor.node.internal.configuration.ConfigurationDuty;
 import org.damaskmoor.node.internal.control.ControlServer;
 import org.damaskmoor.node.internal.duty.DutyLoop;
 import org.damaskmoor.node.internal.entry.EntryDuty;
-import org.damaskmoor.node.internal.entry.EntryDuty.EntrySettings;
-import org.damaskmoor.node.internal.entry.EntryLimits;
 import org.damaskmoor.node.internal.entry.EntryParts;
 import org.damaskmoor.node.internal.entry.MeshCarrier;
 import org.damaskmoor.node.internal.entry.RefusalRecorder;
 import org.damaskmoor.node.internal.entry.ServiceRuntimes;
 import org.damaskmoor.node.internal.entry.ServiceRuntimes.ChoicePolicyFactory;
-import org.damaskmoor.node.internal.entry.ServiceRuntimes.RoutingDefaults;
 import org.damaskmoor.node.internal.members.JoinPoints;
 import org.damaskmoor.node.internal.members.MemberDirectory;
 import org.damaskmoor.node.internal.members.MembershipDuty;
@@ -43,14 +37,12 @@
 import org.damaskmoor.node.internal.metrics.NodeMetrics;
 import org.damaskmoor.node.internal.target.ClaimService.Claim;
 import org.damaskmoor.node.internal.target.TargetDuty;
-import org.damaskmoor.node.internal.target.TargetDuty.TargetLimits;
 import org.damaskmoor.node.internal.target.TargetDuty.UpstreamStatus;
 import org.damaskmoor.platform.PlatformClient;
 import org.damaskmoor.platform.PlatformClientLimits;
 import org.damaskmoor.platform.PlatformServiceTable;
 import org.damaskmoor.platform.TableService;
 import org.damaskmoor.schema.gossip.MemberRecord;
-import org.damaskmoor.schema.gossip.MemberState;
 import org.damaskmoor.schema.mesh.LoadProbeAnswer;
 import org.damaskmoor.schema.mesh.MeshFrame;
 import org.damaskmoor.schema.mesh.RefusalReason;
@@ -70,14 +62,11 @@
  */
 public final class NodeProcess {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final int MESH_RING_FRAMES = 16_384;
-    private static final int FRAME_OVERHEAD_BYTES = 256 * 1024;
-    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
-    private static final Duration SILENCE_TIMEOUT = Duration.ofSeconds(1);
     private static final long LEAVE_NOTICE_MILLISECONDS = 1_000;
     private static final long IDLE_CHECK_MILLISECONDS = 20;
 
     private final NodeSettings settings;
+    private final NodeParameters parameters;
     private final NodeId self;
     private final DutyLoop callerLoop = new DutyLoop("callers");
     private final DutyLoop upstreamLoop = new DutyLoop("upstream");
@@ -102,13 +91,14 @@
      */
     public NodeProcess(NodeSettings settings, ChannelCustomizer customizer) {
         this.settings = settings;
+        this.parameters = new NodeParameters(settings);
         this.self = new NodeId(settings.getNodeId());
         Incarnation incarnation = new Incarnation(System.currentTimeMillis());
         platform = new PlatformClient(PlatformClientLimits.defaults(), new SplittableRandom());
         TableService tables = platform.tableService(URI.create(settings.getTableServiceUrl()));
         mesh =
                 new NettyMeshTransport(
-                        meshSettings(incarnation), new FrameRouter(receivers()), customizer);
+                        parameters.mesh(incarnation), new FrameRouter(receivers()), customizer);
         gossip =
                 new GossipTransport(
                         new InetSocketAddress(settings.getAddress(), settings.getGossipPort()),
@@ -126,7 +116,7 @@
                         this::onConfiguration);
         membership =
                 new MembershipDuty(
-                        selfRecord(incarnation),
+                        parameters.self(incarnation),
                         gossip,
                         configuration.gossip(
                                 (peer, versions) -> membership().protocol().tell(peer, versions),
@@ -235,18 +225,6 @@
         return membership;
     }
 
-    private MeshSettings meshSettings(Incarnation incarnation) {
-        return new MeshSettings(
-                self,
-                incarnation,
-                new InetSocketAddress(settings.getAddress(), settings.getMeshPort()),
-                settings.getMaximumBodyBytes() + FRAME_OVERHEAD_BYTES,
-                MESH_RING_FRAMES,
-                CONNECT_TIMEOUT,
-                SILENCE_TIMEOUT,
-                Optional.empty());
-    }
-
     private FrameReceivers receivers() {
         return new FrameReceivers(
                 this::onEntryFrame,
@@ -293,16 +271,10 @@
     }
 
     private TargetDuty targetDuty(Incarnation incarnation) {
-        TargetLimits limits =
-                new TargetLimits(
-                        settings.getQueueLimit(),
-                        settings.getMaximumBodyBytes(),
-                        settings.getAnnouncementLeaseMilliseconds(),
-                        TimeUnit.SECONDS.toMillis(settings.getKeyRetentionSeconds()));
         return new TargetDuty(
                 upstreamLoop,
                 incarnation,
-                limits,
+                parameters.target(),
                 System::nanoTime,
                 System::currentTimeMillis,
                 (call, whenDone) -> whenDone.accept(Claim.UNAVAILABLE),
@@ -310,15 +282,6 @@
     }
 
     private EntryDuty entryDuty(Incarnation incarnation) {
-        EntrySettings entrySettings =
-                new EntrySettings(
-                        new EntryLimits(
-                                settings.getOpenRequests(),
-                                settings.getDefaultTimeoutMilliseconds(),
-                                settings.getAcceptanceTimeoutMilliseconds()),
-                        new InetSocketAddress(settings.getAddress(), settings.getHttpPort()),
-                        settings.getMaximumBodyBytes(),
-                        Duration.ofMillis(settings.getDrainTimeoutMilliseconds()));
         SelfLink selfLink = new SelfLink(self, incarnation, frame -> entry().offer(frame));
         MeshCarrier carrier =
                 new MeshCarrier(
@@ -336,7 +299,7 @@
                         refusals(),
                         new NodeMetrics(metrics, System::nanoTime));
         return new EntryDuty(
-                callerLoop, self, incarnation, entrySettings, serviceRuntimes(), parts);
+                callerLoop, self, incarnation, parameters.entry(), serviceRuntimes(), parts);
     }
 
     private EntryDuty entry() {
@@ -348,35 +311,16 @@
     }
 
     private ServiceRuntimes serviceRuntimes() {
-        RoutingOptions options =
-                new RoutingOptions(
-                        settings.getSampledCandidates(),
-                        RoutingOptions.DEFAULT.slowStartNanoseconds(),
-                        RoutingOptions.DEFAULT.ejectedPercent());
         return new ServiceRuntimes(
                 new RegionName(settings.getRegion()),
                 new DataCentreName(settings.getDataCentre()),
-                new RoutingDefaults(
-                        options, settings.getRetryBudgetPercent(), ChoicePolicyFactory.PRODUCT),
+                parameters.routing(ChoicePolicyFactory.PRODUCT),
                 members,
                 System::nanoTime,
                 new SplittableRandom(),
                 ServiceMatcher.of(java.util.List.of()));
     }
 
-    private MemberRecord selfRecord(Incarnation incarnation) {
-        return MemberRecord.newBuilder()
-                .setNodeId(self.value())
-                .setIncarnation(incarnation.value())
-                .setState(MemberState.ALIVE)
-                .setRegion(settings.getRegion())
-                .setDataCentre(settings.getDataCentre())
-                .setAddress(settings.getAddress())
-                .setMeshPort(settings.getMeshPort())
-                .setGossipPort(settings.getGossipPort())
-                .build();
-    }
-
     private void onConfiguration(ServiceMatcher services) {
         entry.onConfiguration(services);
         target.onConfiguration(services);
--- /dev/null
+++ b/node/src/main/java/org/damaskmoor/node/internal/NodeParameters.java
@@ -0,0 +1,96 @@
+package org.damaskmoor.node.internal;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.damaskmoor.core.id.Incarnation;
+import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.core.routing.RoutingOptions;
+import org.damaskmoor.mesh.MeshSettings;
+import org.damaskmoor.node.internal.entry.EntryDuty.EntrySettings;
+import org.damaskmoor.node.internal.entry.EntryLimits;
+import org.damaskmoor.node.internal.entry.ServiceRuntimes.ChoicePolicyFactory;
+import org.damaskmoor.node.internal.entry.ServiceRuntimes.RoutingDefaults;
+import org.damaskmoor.node.internal.target.TargetDuty.TargetLimits;
+import org.damaskmoor.schema.gossip.MemberRecord;
+import org.damaskmoor.schema.gossip.MemberState;
+import org.damaskmoor.schema.settings.NodeSettings;
+
+/**
+ * What each part of a node is set to, made from the checked settings of the process.
+ *
+ * <p>Immutable and thread-safe.
+ */
+public final class NodeParameters {
+    private static final int MESH_RING_FRAMES = 16_384;
+    private static final int FRAME_OVERHEAD_BYTES = 256 * 1024;
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+    private static final Duration SILENCE_TIMEOUT = Duration.ofSeconds(1);
+
+    private final NodeSettings settings;
+
+    public NodeParameters(NodeSettings settings) {
+        this.settings = settings;
+    }
+
+    /** The mesh's part. */
+    public MeshSettings mesh(Incarnation incarnation) {
+        return new MeshSettings(
+                new NodeId(settings.getNodeId()),
+                incarnation,
+                new InetSocketAddress(settings.getAddress(), settings.getMeshPort()),
+                settings.getMaximumBodyBytes() + FRAME_OVERHEAD_BYTES,
+                MESH_RING_FRAMES,
+                CONNECT_TIMEOUT,
+                SILENCE_TIMEOUT,
+                Optional.empty());
+    }
+
+    /** The entry part. */
+    public EntrySettings entry() {
+        EntryLimits limits =
+                new EntryLimits(
+                        settings.getOpenRequests(),
+                        settings.getDefaultTimeoutMilliseconds(),
+                        settings.getAcceptanceTimeoutMilliseconds());
+        return new EntrySettings(
+                limits,
+                new InetSocketAddress(settings.getAddress(), settings.getHttpPort()),
+                settings.getMaximumBodyBytes(),
+                Duration.ofMillis(settings.getDrainTimeoutMilliseconds()));
+    }
+
+    /** The target part. */
+    public TargetLimits target() {
+        return new TargetLimits(
+                settings.getQueueLimit(),
+                settings.getMaximumBodyBytes(),
+                settings.getAnnouncementLeaseMilliseconds(),
+                TimeUnit.SECONDS.toMillis(settings.getKeyRetentionSeconds()));
+    }
+
+    /** Routing of services that set nothing. */
+    public RoutingDefaults routing(ChoicePolicyFactory policy) {
+        RoutingOptions options =
+                new RoutingOptions(
+                        settings.getSampledCandidates(),
+                        RoutingOptions.DEFAULT.slowStartNanoseconds(),
+                        RoutingOptions.DEFAULT.ejectedPercent());
+        return new RoutingDefaults(options, settings.getRetryBudgetPercent(), policy);
+    }
+
+    /** What other nodes are told of this one at its start. */
+    public MemberRecord self(Incarnation incarnation) {
+        return MemberRecord.newBuilder()
+                .setNodeId(settings.getNodeId())
+                .setIncarnation(incarnation.value())
+                .setState(MemberState.ALIVE)
+                .setRegion(settings.getRegion())
+                .setDataCentre(settings.getDataCentre())
+                .setAddress(settings.getAddress())
+                .setMeshPort(settings.getMeshPort())
+                .setGossipPort(settings.getGossipPort())
+                .build();
+    }
+}
--- a/node/src/main/java/org/damaskmoor/node/internal/target/TargetDispatcher.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/target/TargetDispatcher.java
@@ -117,6 +117,7 @@
             case TOO_LATE -> logger.atInfo().log("event=call-too-late request=%s", id);
             case DEADLINE_PASSED ->
                     waiters.sendRefusal(waiter, CallRefusal.of(RefusalReason.DEADLINE_PASSED));
+            default -> throw new IllegalStateException("unexpected " + acceptance.result());
         }
     }
 
@@ -152,6 +153,7 @@
             case GRANTED -> offer(id);
             case TAKEN -> refuse(id, CallRefusal.of(RefusalReason.CLAIMED_ELSEWHERE));
             case UNAVAILABLE -> refuse(id, CallRefusal.of(RefusalReason.CLAIM_UNAVAILABLE));
+            default -> throw new IllegalStateException("unexpected " + claim);
         }
     }
 
--- a/node/src/main/java/org/damaskmoor/node/internal/target/TargetTiming.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/target/TargetTiming.java
@@ -10,7 +10,8 @@
  *
  * <p>A call carries its deadline twice: as the time left when it was sent, by which it is queued,
  * and by the entry node's clock, by which a copy that comes late is told from one in time whatever
- * it went through on the way. Times are nanoseconds of this node's monotonic clock.
+ * it went through on the way. The two clocks of this node are tied once, at its start, so that all
+ * copies of a call are judged alike. Times are nanoseconds of this node's monotonic clock.
  *
  * <p>Confined to the upstream event loop.
  */
@@ -19,20 +20,21 @@
     private static final long CLOCK_SKEW_MILLISECONDS = 5_000;
 
     private final LongSupplier clock;
-    private final LongSupplier epochMilliseconds;
+    private final long epochStartNanoseconds;
     private final long keyRetentionNanoseconds;
 
     /**
      * Creates the timing of a target.
      *
      * @param clock the monotonic clock, in nanoseconds
-     * @param epochMilliseconds the wall clock, in milliseconds since the epoch
+     * @param epochMilliseconds the wall clock, in milliseconds since the epoch; read once
      * @param keyRetentionMilliseconds how long an idempotency key is remembered after its run
      */
     TargetTiming(
             LongSupplier clock, LongSupplier epochMilliseconds, long keyRetentionMilliseconds) {
         this.clock = clock;
-        this.epochMilliseconds = epochMilliseconds;
+        this.epochStartNanoseconds =
+                clock.getAsLong() - TimeUnit.MILLISECONDS.toNanos(epochMilliseconds.getAsLong());
         this.keyRetentionNanoseconds = TimeUnit.MILLISECONDS.toNanos(keyRetentionMilliseconds);
     }
 
@@ -63,6 +65,6 @@
     }
 
     private long onOwnClock(long epoch) {
-        return now() + TimeUnit.MILLISECONDS.toNanos(epoch - epochMilliseconds.getAsLong());
+        return epochStartNanoseconds + TimeUnit.MILLISECONDS.toNanos(epoch);
     }
 }
