Measure the slopes of a node's state; look at join points less often in a large group

Cause: each tick of 100 ms sorted all members and copied their list; at 2,800 members that is work for nothing, and a burst of news published the directory once for each datagram. Change: the list is made when members change, at most every 50 ms; join points are checked every 15 s or 50 ms for each member.

--- a/bench/src/main/java/org/damaskmoor/bench/BenchMain.java
+++ b/bench/src/main/java/org/damaskmoor/bench/BenchMain.java
@@ -5,6 +5,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.Callable;
+import org.damaskmoor.bench.capacity.CapacityCommand;
 import org.damaskmoor.bench.demo.DemoCommand;
 import org.damaskmoor.bench.demo.LoadCommand;
 import org.damaskmoor.bench.link.EmulatedNode;
@@ -51,6 +52,7 @@
 
     private static Cli<Callable<Integer>> cli() {
         return Cli.<Callable<Integer>>builder("damaskmoor-bench")
+                .withCommand(CapacityCommand.class)
                 .withCommand(DemoCommand.class)
                 .withCommand(LoadCommand.class)
                 .withCommand(PlatformStandInCommand.class)
--- /dev/null
+++ b/bench/src/main/java/org/damaskmoor/bench/capacity/StateSlopes.java
@@ -0,0 +1,228 @@
+package org.damaskmoor.bench.capacity;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.damaskmoor.core.accounting.Refusal;
+import org.damaskmoor.core.accounting.RefusalWriter;
+import org.damaskmoor.core.accounting.RefusalWriterLimits;
+import org.damaskmoor.core.configuration.ConfigurationStore;
+import org.damaskmoor.core.configuration.ServiceMatcher;
+import org.damaskmoor.core.id.CallerName;
+import org.damaskmoor.core.id.DataCentreName;
+import org.damaskmoor.core.id.Incarnation;
+import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.core.id.RegionName;
+import org.damaskmoor.core.id.RequestId;
+import org.damaskmoor.core.id.ServiceName;
+import org.damaskmoor.core.once.CallKey;
+import org.damaskmoor.core.once.LedgerLimits;
+import org.damaskmoor.core.once.TargetLedger;
+import org.damaskmoor.core.routing.ChoicePolicies;
+import org.damaskmoor.core.routing.RequestView;
+import org.damaskmoor.core.routing.Router;
+import org.damaskmoor.core.routing.RoutingOptions;
+import org.damaskmoor.core.routing.Target;
+import org.damaskmoor.core.routing.TargetId;
+import org.damaskmoor.node.internal.members.MemberDirectory;
+import org.damaskmoor.schema.configuration.RequestRule;
+import org.damaskmoor.schema.configuration.ServiceConfiguration;
+import org.damaskmoor.schema.configuration.VersionedConfiguration;
+import org.damaskmoor.schema.gossip.MemberRecord;
+import org.damaskmoor.schema.gossip.MemberState;
+import org.damaskmoor.schema.mesh.RefusalReason;
+import org.damaskmoor.schema.mesh.UpstreamState;
+
+/** The slopes of a node's state: bytes and time for one more unit of each. Stateless. */
+final class StateSlopes {
+    private static final int FEW = 100;
+    private static final int MEMBERS = 2_800;
+    private static final int SERVICES = 340;
+    private static final int TARGETS = 1_000;
+    private static final int CALLS = 20_000;
+    private static final int REFUSAL_KEYS = 2_000;
+    private static final int WARM_UP = 2_000;
+    private static final int REPETITIONS = 2_000;
+    private static final long MINUTE_NANOSECONDS = TimeUnit.MINUTES.toNanos(1);
+
+    private StateSlopes() {}
+
+    static String directory() {
+        List<MemberRecord> members = members(MEMBERS);
+        MemberDirectory directory = new MemberDirectory();
+        double microseconds = microseconds(() -> directory.publish(members));
+        double bytes =
+                HeapMeter.bytesPerUnit(
+                        FEW,
+                        MEMBERS,
+                        units -> {
+                            MemberDirectory made = new MemberDirectory();
+                            made.publish(members(units));
+                            return made;
+                        });
+        return line("directory", MEMBERS, bytes, "publish_us", microseconds);
+    }
+
+    static String configuration() {
+        double bytes = HeapMeter.bytesPerUnit(FEW, SERVICES, StateSlopes::configured);
+        List<VersionedConfiguration> all = configurations(SERVICES);
+        double microseconds = microseconds(() -> ServiceMatcher.of(all));
+        return line("service", SERVICES, bytes, "matcher_us", microseconds);
+    }
+
+    static String router() {
+        double bytes = HeapMeter.bytesPerUnit(FEW, TARGETS, StateSlopes::routed);
+        Router router = routed(TARGETS);
+        RequestView view = new RequestView(false, TimeUnit.SECONDS.toNanos(1));
+        double microseconds = microseconds(() -> router.choose(view, Set.of(), 1));
+        return line("target", TARGETS, bytes, "choice_us", microseconds);
+    }
+
+    static String ledger() {
+        double bytes = HeapMeter.bytesPerUnit(FEW, CALLS, StateSlopes::remembered);
+        return line("remembered_call", CALLS, bytes, "answer_bytes", 0);
+    }
+
+    static String refusals() {
+        double bytes = HeapMeter.bytesPerUnit(FEW, REFUSAL_KEYS, StateSlopes::refused);
+        return line("refusal_key", REFUSAL_KEYS, bytes, "keys_per_node_most", 4_096);
+    }
+
+    private static String line(
+            String unit, int count, double bytes, String timeName, double value) {
+        return String.format(
+                Locale.ROOT,
+                "state unit=%s measured_at=%d bytes_per_unit=%.0f %s=%.1f",
+                unit,
+                count,
+                bytes,
+                timeName,
+                value);
+    }
+
+    private static double microseconds(Runnable task) {
+        for (int i = 0; i < WARM_UP; i++) {
+            task.run();
+        }
+        long start = System.nanoTime();
+        for (int i = 0; i < REPETITIONS; i++) {
+            task.run();
+        }
+        return (System.nanoTime() - start) / 1e3 / REPETITIONS;
+    }
+
+    private static List<MemberRecord> members(int count) {
+        List<MemberRecord> members = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            members.add(
+                    MemberRecord.newBuilder()
+                            .setNodeId("node-" + i)
+                            .setIncarnation(1_700_000_000_000L + i)
+                            .setState(MemberState.ALIVE)
+                            .setRegion("region-" + i % 4)
+                            .setDataCentre("data-centre-" + i % 15)
+                            .setAddress("127.0.0.1")
+                            .setMeshPort(1 + i)
+                            .setGossipPort(1 + i)
+                            .setService("service-" + i % SERVICES)
+                            .setUpstreamState(UpstreamState.SERVING_VALUE)
+                            .setCapacity(10)
+                            .build());
+        }
+        return members;
+    }
+
+    private static Object configured(int services) {
+        ConfigurationStore store = new ConfigurationStore(accepted -> {});
+        configurations(services).forEach(store::accept);
+        return List.of(store, ServiceMatcher.of(store.all()));
+    }
+
+    private static List<VersionedConfiguration> configurations(int count) {
+        List<VersionedConfiguration> configurations = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            ServiceConfiguration.Builder service =
+                    ServiceConfiguration.newBuilder()
+                            .setName("service-" + i)
+                            .addHosts("service-" + i + ".example")
+                            .addPathPrefixes("/service-" + i);
+            for (int rule = 0; rule < 5; rule++) {
+                service.addRules(
+                        RequestRule.newBuilder()
+                                .setName("rule-" + rule)
+                                .addMethods("POST")
+                                .setPathPrefix("/service-" + i + "/" + rule)
+                                .addAllowedCallers("caller-" + rule));
+            }
+            configurations.add(
+                    VersionedConfiguration.newBuilder().setService(service).setVersion(1).build());
+        }
+        return configurations;
+    }
+
+    private static Router routed(int targets) {
+        Router router =
+                Router.create(
+                        new RegionName("region-0"),
+                        new DataCentreName("data-centre-0"),
+                        RoutingOptions.DEFAULT,
+                        ChoicePolicies.expectedCompletion(4),
+                        new SplittableRandom(1));
+        List<Target> all = new ArrayList<>(targets);
+        for (int i = 0; i < targets; i++) {
+            all.add(
+                    new Target(
+                            new TargetId(new NodeId("node-" + i), new Incarnation(1 + i)),
+                            new RegionName("region-0"),
+                            new DataCentreName("data-centre-" + i % 4),
+                            UpstreamState.SERVING,
+                            10));
+        }
+        router.updateTargets(all, 0);
+        return router;
+    }
+
+    private static Object remembered(int calls) {
+        Incarnation own = new Incarnation(1);
+        TargetLedger ledger =
+                TargetLedger.bounded(own, new LedgerLimits(2 * CALLS, 8_000_000, 4_096));
+        for (int i = 0; i < calls; i++) {
+            RequestId id = new RequestId(new NodeId("node-" + i % MEMBERS), own, i);
+            CallKey key = new CallKey(id, Optional.empty());
+            ledger.accept(key, own, MINUTE_NANOSECONDS, 2 * MINUTE_NANOSECONDS, 0);
+            ledger.handOver(id, 0);
+            ledger.answered(id, ByteString.EMPTY);
+        }
+        return ledger;
+    }
+
+    private static Object refused(int keys) {
+        RefusalWriter writer =
+                new RefusalWriter(
+                        new NodeId("node-1"),
+                        new Incarnation(1),
+                        RefusalWriterLimits.defaults(),
+                        List::of,
+                        (peer, batch) -> {},
+                        new SplittableRandom(1));
+        List<Object> kept = new ArrayList<>(List.of(writer));
+        for (int i = 0; i < keys; i++) {
+            kept.add(writer.record(refusal(i), i));
+        }
+        return kept;
+    }
+
+    private static Refusal refusal(int number) {
+        return new Refusal(
+                new ServiceName("service-" + number % SERVICES),
+                new CallerName("caller-" + number),
+                RefusalReason.QUEUE_FULL,
+                1,
+                1);
+    }
+}
--- a/bench/src/main/java/org/damaskmoor/bench/slope/MembershipSlope.java
+++ b/bench/src/main/java/org/damaskmoor/bench/slope/MembershipSlope.java
@@ -17,7 +17,7 @@
  * Drives the membership state machines of one group with virtual time and measures what each costs.
  * Not thread-safe.
  */
-final class MembershipSlope {
+public final class MembershipSlope {
     private static final long TICK = MembershipProtocol.TICK_MILLISECONDS;
     private static final long SETTLING_MILLISECONDS = 20_000;
     private static final long LONGEST_SPREAD_MILLISECONDS = 60_000;
@@ -40,12 +40,12 @@
     private long now = 1_000_000;
     private long configurationVersion = 1;
 
-    MembershipSlope(int size, long seed) {
+    public MembershipSlope(int size, long seed) {
         this.size = size;
         this.random = new Random(seed);
     }
 
-    SlopeResult run(long measuredMilliseconds) {
+    public SlopeResult run(long measuredMilliseconds) {
         double heapBytesPerMember = fill();
         advance(SETTLING_MILLISECONDS, false);
         VirtualNetwork.Totals before = network.totals();
--- a/bench/src/main/java/org/damaskmoor/bench/slope/SlopeResult.java
+++ b/bench/src/main/java/org/damaskmoor/bench/slope/SlopeResult.java
@@ -16,7 +16,7 @@
  * @param leaveMilliseconds until every member knew of a leaving upstream; -1: not in time
  * @param failure what the failure of a whole data centre came to
  */
-record SlopeResult(
+public record SlopeResult(
         int size,
         long measuredMilliseconds,
         Totals quiet,
@@ -37,7 +37,7 @@
     record Failure(int members, long milliseconds, double bytesPerSecond, long falselyDead) {}
 
     /** One line of key=value pairs. */
-    String line() {
+    public String line() {
         double nodeSeconds = size * measuredMilliseconds / 1_000.0;
         return String.format(
                 Locale.ROOT,
--- a/node/src/main/java/org/damaskmoor/node/internal/members/MembershipDuty.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/members/MembershipDuty.java
@@ -30,6 +30,12 @@
     private static final long JOIN_RETRY_MILLISECONDS = 1_000;
     private static final long JOIN_POINT_CHECK_MILLISECONDS = 15_000;
 
+    /** Time between two looks at the join points by all nodes together, when they are many. */
+    private static final long GROUP_CHECK_MILLISECONDS = 50;
+
+    /** Shortest time between two publications, so that a burst of news costs one. */
+    private static final long PUBLISH_MILLISECONDS = 50;
+
     private final MembershipProtocol protocol;
     private final JoinPoints joinPoints;
     private final MemberDirectory directory;
@@ -37,7 +43,10 @@
     private final Executor control;
     private final LongSupplier milliseconds;
     private final RandomGenerator random;
+    private List<MemberRecord> members = List.of();
+    private List<NodeId> nearestPeers = List.of();
     private boolean changed = true;
+    private long nextPublishMilliseconds;
     private long nextJoinMilliseconds;
     private long nextCheckMilliseconds;
 
@@ -101,29 +110,37 @@
     /** Takes in a datagram. */
     public void receive(GossipMessage message, InetSocketAddress from) {
         protocol.receive(message, from, milliseconds.getAsLong());
-        publishIfChanged();
+        publishIfDue();
     }
 
     /** Does what is due; call it every {@link MembershipProtocol#TICK_MILLISECONDS}. */
     public void tick() {
         long now = milliseconds.getAsLong();
         protocol.tick(now);
-        if (!hasPeers() && now >= nextJoinMilliseconds) {
+        if (nearestPeers.isEmpty() && now >= nextJoinMilliseconds) {
             nextJoinMilliseconds = now + JOIN_RETRY_MILLISECONDS;
             joinThroughTable();
         }
         if (now >= nextCheckMilliseconds) {
-            nextCheckMilliseconds = now + random.nextLong(1, 2 * JOIN_POINT_CHECK_MILLISECONDS);
+            nextCheckMilliseconds = now + random.nextLong(1, 2 * joinPointCheckMilliseconds());
             keepJoinPoint();
         }
-        publishIfChanged();
+        publishIfDue();
+    }
+
+    private long joinPointCheckMilliseconds() {
+        return Math.max(JOIN_POINT_CHECK_MILLISECONDS, members.size() * GROUP_CHECK_MILLISECONDS);
     }
 
     /** Other members, those of the own data centre first, then those of the own region. */
     public List<NodeId> nearestPeers() {
+        return nearestPeers;
+    }
+
+    private List<NodeId> sortByDistance(List<MemberRecord> present) {
         MemberRecord self = protocol.self();
         List<MemberRecord> others = new ArrayList<>();
-        for (MemberRecord member : protocol.members()) {
+        for (MemberRecord member : present) {
             boolean other = !member.getNodeId().equals(self.getNodeId());
             if (other && member.getState() == MemberState.ALIVE) {
                 others.add(member);
@@ -140,10 +157,6 @@
         return member.getRegion().equals(self.getRegion()) ? 1 : 2;
     }
 
-    private boolean hasPeers() {
-        return protocol.members().size() > 1;
-    }
-
     private void keepJoinPoint() {
         joinPoints
                 .keep(protocol.self(), directory::isCurrent)
@@ -180,10 +193,14 @@
         }
     }
 
-    private void publishIfChanged() {
-        if (changed) {
+    private void publishIfDue() {
+        long now = milliseconds.getAsLong();
+        if (changed && now >= nextPublishMilliseconds) {
             changed = false;
-            directory.publish(protocol.members());
+            nextPublishMilliseconds = now + PUBLISH_MILLISECONDS;
+            members = protocol.members();
+            nearestPeers = sortByDistance(members);
+            directory.publish(members);
             listener.onPublished();
         }
     }
