Account for refusals in the node, end to end

Change: AccountingDuty drives them on a thread of its own, behind bounded rings. A refusal is answered once a peer in another data centre of the region stored it, or its gap is noted; a full ring counts it as a gap and answers at once. Peers of other regions, over the paid link, are asked only when the region has one data centre: a region that lost sight of its others notes gaps. Deaths, departures and new incarnations reach the writer and the buddy. Service-level counts come from the outcomes; refusals for what the caller sent (not allowed, malformed, too large, no such service) don't burn the service's budget. A planned stop flushes before it leaves, within the drain timeout. Ruled out: a tick of 1 ms at all times (25 ms while no refusal waits); a same data centre's peer as a stand-in, which would be told as stored elsewhere.

--- a/bench/src/main/java/org/damaskmoor/bench/demo/Site.java
+++ b/bench/src/main/java/org/damaskmoor/bench/demo/Site.java
@@ -16,6 +16,7 @@
 final class Site {
     private static final String PLATFORM = "platform";
     private static final long POLL_MILLISECONDS = 50;
+    private static final int FLUSH_SECONDS = 2;
 
     private final Deployment deployment;
     private final List<Place> places;
@@ -90,7 +91,8 @@
                 "--control-port=" + place.controlPort(),
                 "--operator-port=" + place.operatorPort(),
                 "--table-service-url=" + platformUrl(),
-                "--object-store-url=" + platformUrl());
+                "--object-store-url=" + platformUrl(),
+                "--accounting-flush-seconds=" + FLUSH_SECONDS);
     }
 
     /** Waits until the platform and all upstreams answer. */
--- a/core/src/main/java/org/damaskmoor/core/accounting/RefusalWriter.java
+++ b/core/src/main/java/org/damaskmoor/core/accounting/RefusalWriter.java
@@ -104,6 +104,18 @@
         return ticket.durability();
     }
 
+    /**
+     * Counts refusals that were answered before they came here.
+     *
+     * @param answered their counts, each noted as a gap too
+     */
+    public void recordAnswered(RefusalLedger answered, long nowNanoseconds) {
+        if (pending.isEmpty()) {
+            pendingSinceNanoseconds = nowNanoseconds;
+        }
+        pending.addAll(answered.counts(), answered.gaps(), answered.folded());
+    }
+
     /** Does what is due at this time: sends, changes the peer, declares gaps. */
     public void tick(long nowNanoseconds) {
         if (!pending.isEmpty()
--- a/node/src/main/java/org/damaskmoor/node/NodeProcess.java
+++ b/node/src/main/java/org/damaskmoor/node/NodeProcess.java
@@ -21,6 +21,9 @@
 import org.damaskmoor.mesh.MeshSettings;
 import org.damaskmoor.mesh.NettyMeshTransport;
 import org.damaskmoor.mesh.gossip.GossipTransport;
+import org.damaskmoor.node.internal.accounting.AccountingDuty;
+import org.damaskmoor.node.internal.accounting.AccountingFactory;
+import org.damaskmoor.node.internal.accounting.ServiceLevelOutcomes;
 import org.damaskmoor.node.internal.configuration.ConfigurationDuty;
 import org.damaskmoor.node.internal.control.ControlServer;
 import org.damaskmoor.node.internal.duty.DutyLoop;
@@ -29,7 +32,6 @@
 import org.damaskmoor.node.internal.entry.EntryLimits;
 import org.damaskmoor.node.internal.entry.EntryParts;
 import org.damaskmoor.node.internal.entry.MeshCarrier;
-import org.damaskmoor.node.internal.entry.RefusalRecorder;
 import org.damaskmoor.node.internal.entry.ServiceRuntimes;
 import org.damaskmoor.node.internal.entry.ServiceRuntimes.ChoicePolicyFactory;
 import org.damaskmoor.node.internal.entry.ServiceRuntimes.RoutingDefaults;
@@ -82,11 +84,13 @@
     private final DutyLoop callerLoop = new DutyLoop("callers");
     private final DutyLoop upstreamLoop = new DutyLoop("upstream");
     private final DutyLoop controlLoop = new DutyLoop("control");
+    private final DutyLoop accountingLoop = new DutyLoop("accounting");
     private final MetricRegistry metrics = new MetricRegistry();
     private final MemberDirectory members = new MemberDirectory();
     private final PlatformClient platform;
     private final NettyMeshTransport mesh;
     private final GossipTransport gossip;
+    private final AccountingDuty accounting;
     private final EntryDuty entry;
     private final TargetDuty target;
     private final ConfigurationDuty configuration;
@@ -114,6 +118,9 @@
                         new InetSocketAddress(settings.getAddress(), settings.getGossipPort()),
                         this::onDatagram,
                         customizer);
+        accounting =
+                AccountingFactory.create(
+                        settings, incarnation, callerLoop, accountingLoop, members, mesh, platform);
         target = targetDuty(incarnation);
         entry = entryDuty(incarnation);
         configuration =
@@ -175,7 +182,8 @@
         return CompletableFuture.runAsync(() -> {}, later(LEAVE_NOTICE_MILLISECONDS))
                 .thenCompose(noticed -> entry.stop())
                 .thenCompose(closed -> whenTargetIdle(deadline))
-                .thenCompose(idle -> leave())
+                .thenCompose(idle -> flushAccounting(deadline))
+                .thenCompose(flushed -> leave())
                 .thenCompose(left -> control.stop())
                 .thenCompose(stopped -> mesh.stop())
                 .thenCompose(stopped -> gossip.close())
@@ -195,6 +203,21 @@
                         });
     }
 
+    private CompletableFuture<Void> flushAccounting(long deadlineMilliseconds) {
+        long left = Math.max(1, deadlineMilliseconds - monotonicMilliseconds());
+        return accounting
+                .flush()
+                .orTimeout(left, TimeUnit.MILLISECONDS)
+                .exceptionally(
+                        timeout -> {
+                            logger.atWarning().log(
+                                    "event=accounting-unflushed step=flush peer=object-store"
+                                            + " waited_milliseconds=%d",
+                                    left);
+                            return null;
+                        });
+    }
+
     private CompletableFuture<Void> leave() {
         return controlLoop
                 .submit(() -> membership.protocol().leave(monotonicMilliseconds()))
@@ -208,6 +231,7 @@
         callerLoop.stop();
         upstreamLoop.stop();
         controlLoop.stop();
+        accountingLoop.stop();
         platform.close();
         logger.atInfo().log("event=node-stopped node=%s", self);
     }
@@ -217,6 +241,7 @@
     }
 
     private void startTicks() {
+        accounting.start();
         controlLoop.execute(
                 () -> configuration.begin(membership.nearestPeers(), monotonicMilliseconds()));
         SplittableRandom turns = new SplittableRandom();
@@ -253,7 +278,7 @@
                 this::onTargetFrame,
                 (link, frame) -> link.send(loadAnswer()),
                 (link, frame) -> controlLoop.execute(() -> configuration.onFrame(link, frame)),
-                (link, frame) -> {},
+                (link, frame) -> accounting().onFrame(link, frame),
                 this::onUnsent,
                 (peer, lastUsed) -> entry.onLinkLost(peer, lastUsed));
     }
@@ -327,24 +352,30 @@
                         mesh,
                         frame -> target.offer(selfLink, frame),
                         (frame, reason) -> entry().onUnsent(frame, reason));
+        ServiceRuntimes runtimes = serviceRuntimes();
         EntryParts parts =
                 new EntryParts(
                         System::nanoTime,
                         System::currentTimeMillis,
                         callerLoop.timers(),
                         carrier,
-                        refusals(),
-                        new NodeMetrics(metrics, System::nanoTime));
-        return new EntryDuty(
-                callerLoop, self, incarnation, entrySettings, serviceRuntimes(), parts);
+                        accounting,
+                        new NodeMetrics(metrics, System::nanoTime)
+                                .andThen(
+                                        new ServiceLevelOutcomes(
+                                                runtimes::matcher,
+                                                System::nanoTime,
+                                                System::currentTimeMillis,
+                                                accounting::onEnded)));
+        return new EntryDuty(callerLoop, self, incarnation, entrySettings, runtimes, parts);
     }
 
     private EntryDuty entry() {
         return entry;
     }
 
-    private RefusalRecorder refusals() {
-        return (refusal, whenRecorded) -> whenRecorded.accept("not-recorded");
+    private AccountingDuty accounting() {
+        return accounting;
     }
 
     private ServiceRuntimes serviceRuntimes() {
@@ -404,8 +435,14 @@
             entry.onMembers();
         }
 
+        @Override
+        public void onPresent(MemberRecord member) {
+            accounting.onPresent(member);
+        }
+
         @Override
         public void onGone(MemberRecord member) {
+            accounting.onGone(member);
             configuration.forget(new NodeId(member.getNodeId()));
         }
 
--- /dev/null
+++ b/node/src/main/java/org/damaskmoor/node/internal/accounting/AccountingDuty.java
@@ -0,0 +1,282 @@
+package org.damaskmoor.node.internal.accounting;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.damaskmoor.core.accounting.EndedRequest;
+import org.damaskmoor.core.accounting.ObjectWriteQueue;
+import org.damaskmoor.core.accounting.RefusalBuddy;
+import org.damaskmoor.core.accounting.RefusalDurability;
+import org.damaskmoor.core.accounting.RefusalFlusher;
+import org.damaskmoor.core.accounting.RefusalLedger;
+import org.damaskmoor.core.accounting.RefusalWriter;
+import org.damaskmoor.core.accounting.RefusalWriterLimits;
+import org.damaskmoor.core.accounting.RequestFlusher;
+import org.damaskmoor.core.id.Incarnation;
+import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.mesh.MeshLink;
+import org.damaskmoor.mesh.ring.BoundedMailbox;
+import org.damaskmoor.node.internal.entry.Refusal;
+import org.damaskmoor.node.internal.entry.RefusalRecorder;
+import org.damaskmoor.platform.ObjectWriter;
+import org.damaskmoor.schema.gossip.MemberRecord;
+import org.damaskmoor.schema.mesh.MeshFrame;
+
+/**
+ * The accounting part of a node: holds each refusal at a peer before it is answered, keeps other
+ * nodes' refusals, and flushes refusals and request counts to the object store.
+ *
+ * <pre>{@code
+ * accounting.start();
+ * accounting.record(refusal, id -> reply(id));    // caller event loop
+ * accounting.flush().join();                      // planned stop: nothing is left to write
+ * }</pre>
+ *
+ * <p>Thread-safe but for {@link #record}, which belongs to the caller event loop; everything else
+ * is handed to the accounting event loop. Invariants: a refusal is answered once, when a peer
+ * stored it or its gap is noted; what is flushed counts every refusal once.
+ */
+public final class AccountingDuty implements RefusalRecorder {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final int RING_REFUSALS = 16_384;
+    private static final int RING_FRAMES = 4_096;
+    private static final int RING_REQUESTS = 16_384;
+    private static final int BUDDY_KEYS = 262_144;
+    private static final int KEYS_PER_GROUP = 4_096;
+    private static final int REQUEST_KEYS = 4_096;
+    private static final long RETRY_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(500);
+
+    private record Received(MeshLink link, MeshFrame frame) {}
+
+    private final AccountingParts parts;
+    private final RefusalWriter writer;
+    private final RefusalBuddy buddy = new RefusalBuddy(BUDDY_KEYS, KEYS_PER_GROUP);
+    private final RefusalFlusher refusals;
+    private final RequestFlusher requests;
+    private final ObjectWriter refusalObjects;
+    private final ObjectWriter requestObjects;
+    private final AccountingTicks ticks;
+    private final RefusalOverflow overflow;
+    private final RefusalRecorder intake;
+    private final BoundedMailbox<Received> frames;
+    private final BoundedMailbox<EndedRequest> ended;
+    private final Map<NodeId, Incarnation> present = new HashMap<>();
+    private int unanswered;
+    private CompletableFuture<Void> flushed;
+
+    /** Creates the duty of one start of a node. */
+    public AccountingDuty(NodeId self, Incarnation incarnation, AccountingParts parts) {
+        this.parts = parts;
+        writer =
+                new RefusalWriter(
+                        self,
+                        incarnation,
+                        RefusalWriterLimits.defaults(),
+                        parts.peers(),
+                        parts.sender(),
+                        parts.random());
+        refusals =
+                new RefusalFlusher(
+                        writer,
+                        buddy,
+                        queue(),
+                        parts.flushIntervalNanoseconds(),
+                        parts.random(),
+                        now());
+        requests =
+                new RequestFlusher(
+                        self,
+                        incarnation,
+                        queue(),
+                        parts.flushIntervalNanoseconds(),
+                        REQUEST_KEYS,
+                        parts.random(),
+                        now());
+        refusalObjects =
+                new ObjectWriter(parts.store(), refusals, parts.accounting(), parts.clock());
+        requestObjects =
+                new ObjectWriter(parts.store(), requests, parts.accounting(), parts.clock());
+        ticks = new AccountingTicks(parts.timers(), this::isOpen, this::tick);
+        overflow = new RefusalOverflow(parts.callers(), parts.accounting(), this::takeAnswered);
+        intake = intake(self, incarnation);
+        frames = mailbox(RING_FRAMES, this::take);
+        ended = mailbox(RING_REQUESTS, requests::record);
+    }
+
+    private RefusalRecorder intake(NodeId self, Incarnation incarnation) {
+        BoundedMailbox<RefusalIntake.Taken> taken = mailbox(RING_REFUSALS, this::take);
+        return new RefusalIntake(
+                self,
+                incarnation,
+                parts.epochMilliseconds(),
+                parts.callers(),
+                taken::offer,
+                overflow);
+    }
+
+    private ObjectWriteQueue queue() {
+        return new ObjectWriteQueue(RETRY_NANOSECONDS, parts.random());
+    }
+
+    private <T> BoundedMailbox<T> mailbox(int capacity, Consumer<T> consumer) {
+        return new BoundedMailbox<>(capacity, parts.accounting(), consumer, this::wake);
+    }
+
+    /** Begins to flush. */
+    public void start() {
+        parts.accounting().execute(ticks::start);
+    }
+
+    @Override
+    public void record(Refusal refusal, Consumer<String> whenRecorded) {
+        intake.record(refusal, whenRecorded);
+    }
+
+    /** Counts an ended request for the service level. */
+    public void onEnded(EndedRequest request) {
+        if (!ended.offer(request)) {
+            logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
+                    "event=request-uncounted step=enqueue peer=accounting reason=ring-full");
+        }
+    }
+
+    /** Takes a batch of a peer's refusals, or a peer's answer to one of this node's. */
+    public void onFrame(MeshLink link, MeshFrame frame) {
+        if (!frames.offer(new Received(link, frame))) {
+            logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
+                    "event=frame-dropped step=enqueue peer=accounting reason=ring-full");
+        }
+    }
+
+    /** A member is present, for the first time, again, or in a new incarnation. */
+    public void onPresent(MemberRecord member) {
+        parts.accounting().execute(() -> notePresent(member));
+    }
+
+    /** A member is dead or left. */
+    public void onGone(MemberRecord member) {
+        parts.accounting().execute(() -> noteGone(nodeOf(member), incarnationOf(member)));
+    }
+
+    /**
+     * Flushes until nothing is left, before a planned stop; whoever waits bounds the time. Refusals
+     * and requests that come meanwhile are flushed too.
+     */
+    public CompletableFuture<Void> flush() {
+        CompletableFuture<Void> whenFlushed = new CompletableFuture<>();
+        Runnable begin =
+                () -> {
+                    flushed = whenFlushed;
+                    wake();
+                };
+        parts.callers()
+                .execute(
+                        () -> {
+                            overflow.handOver();
+                            parts.accounting().execute(begin);
+                        });
+        return whenFlushed;
+    }
+
+    private void take(RefusalIntake.Taken taken) {
+        CompletableFuture<RefusalDurability> durability = writer.record(taken.refusal(), now());
+        unanswered++;
+        CompletableFuture<Void> unused = durability.thenAccept(reached -> answer(taken, reached));
+    }
+
+    private void answer(RefusalIntake.Taken taken, RefusalDurability reached) {
+        unanswered--;
+        logGap(reached);
+        taken.whenRecorded().run();
+    }
+
+    private static void logGap(RefusalDurability reached) {
+        if (reached == RefusalDurability.GAP) {
+            logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
+                    "event=refusal-gap step=write-ahead peer=none reason=not-stored-in-time");
+        }
+    }
+
+    private void takeAnswered(RefusalLedger answered) {
+        writer.recordAnswered(answered, now());
+    }
+
+    private void take(Received received) {
+        MeshFrame frame = received.frame();
+        if (frame.hasRefusalBatch()) {
+            buddy.onBatch(frame.getRefusalBatch())
+                    .ifPresent(
+                            stored ->
+                                    received.link()
+                                            .send(
+                                                    MeshFrame.newBuilder()
+                                                            .setRefusalBatchStored(stored)
+                                                            .build()));
+        } else if (frame.hasRefusalBatchStored()) {
+            writer.onStored(received.link().peer(), frame.getRefusalBatchStored(), now());
+        }
+    }
+
+    private void notePresent(MemberRecord member) {
+        parts.peers().onPresent(member);
+        NodeId node = nodeOf(member);
+        Incarnation incarnation = incarnationOf(member);
+        Incarnation before = present.put(node, incarnation);
+        if (before != null && !before.equals(incarnation)) {
+            writer.onPeerLost(node, now());
+            buddy.onOwnerGone(node, before);
+        }
+        buddy.onOwnerBack(node, incarnation);
+    }
+
+    private void noteGone(NodeId node, Incarnation incarnation) {
+        buddy.onOwnerGone(node, incarnation);
+        if (present.remove(node, incarnation)) {
+            writer.onPeerLost(node, now());
+        }
+    }
+
+    private boolean isOpen() {
+        return unanswered > 0 || flushed != null;
+    }
+
+    private void wake() {
+        ticks.wake();
+    }
+
+    private void tick() {
+        long now = now();
+        writer.tick(now);
+        refusals.tick(now);
+        requests.tick(now);
+        if (flushed != null) {
+            refusals.flush(now);
+            requests.flush();
+            completeWhenFlushed();
+        }
+        CompletableFuture<Void> unusedRefusals = refusalObjects.poll();
+        CompletableFuture<Void> unusedRequests = requestObjects.poll();
+    }
+
+    private void completeWhenFlushed() {
+        if (unanswered == 0 && refusals.isIdle() && requests.isIdle()) {
+            flushed.complete(null);
+            flushed = null;
+        }
+    }
+
+    private long now() {
+        return parts.clock().getAsLong();
+    }
+
+    private static NodeId nodeOf(MemberRecord member) {
+        return new NodeId(member.getNodeId());
+    }
+
+    private static Incarnation incarnationOf(MemberRecord member) {
+        return new Incarnation(member.getIncarnation());
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/damaskmoor/node/internal/accounting/RefusalOverflow.java
@@ -0,0 +1,53 @@
+package org.damaskmoor.node.internal.accounting;
+
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import org.damaskmoor.core.accounting.Refusal;
+import org.damaskmoor.core.accounting.RefusalLedger;
+
+/**
+ * Counts the refusals that found the accounting ring full, each as a gap, and hands the counts over
+ * once the accounting event loop has caught up.
+ *
+ * <p>Confined to the caller event loop. Invariants: each refusal is handed over once; memory is
+ * bounded by folding callers; one hand-over is on its way at most.
+ */
+final class RefusalOverflow {
+    private static final int MAXIMUM_KEYS = 4_096;
+
+    private final Executor callers;
+    private final Executor accounting;
+    private final Consumer<RefusalLedger> receiver;
+    private RefusalLedger ledger = new RefusalLedger(MAXIMUM_KEYS);
+    private boolean announced;
+
+    /**
+     * An empty overflow.
+     *
+     * @param receiver takes the counts, on the accounting event loop
+     */
+    RefusalOverflow(Executor callers, Executor accounting, Consumer<RefusalLedger> receiver) {
+        this.callers = callers;
+        this.accounting = accounting;
+        this.receiver = receiver;
+    }
+
+    void add(Refusal refusal) {
+        ledger.add(refusal);
+        ledger.addGap(refusal.epochMinute(), 1);
+        if (!announced) {
+            announced = true;
+            accounting.execute(() -> callers.execute(this::handOver));
+        }
+    }
+
+    /** Hands over what there is now. */
+    void handOver() {
+        announced = false;
+        RefusalLedger counted = ledger;
+        if (!counted.isEmpty()) {
+            ledger = new RefusalLedger(MAXIMUM_KEYS);
+            accounting.execute(() -> receiver.accept(counted));
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/damaskmoor/node/internal/accounting/ServiceLevelOutcomes.java
@@ -0,0 +1,115 @@
+package org.damaskmoor.node.internal.accounting;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.damaskmoor.core.accounting.EndedRequest;
+import org.damaskmoor.core.accounting.RequestEnd;
+import org.damaskmoor.core.configuration.MatchedService;
+import org.damaskmoor.core.configuration.ServiceMatcher;
+import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.core.once.CallStep;
+import org.damaskmoor.node.internal.entry.CallTemplate;
+import org.damaskmoor.node.internal.entry.OutcomeListener;
+import org.damaskmoor.schema.configuration.ServiceLevelObjective;
+import org.damaskmoor.schema.mesh.RefusalReason;
+
+/**
+ * Turns the ends of requests into counts of the service level.
+ *
+ * <p>An answer is late when it took longer than the objective of its kind, or else of all kinds,
+ * allows. Requests that are refused for what the caller sent (path not allowed, malformed, too
+ * large, no such service) say nothing of the service and are not counted here; the refusals are
+ * accounted for all the same.
+ *
+ * <p>Confined to the caller event loop.
+ */
+public final class ServiceLevelOutcomes implements OutcomeListener {
+    private static final int FIRST_SERVER_ERROR = 500;
+
+    private final Supplier<ServiceMatcher> services;
+    private final LongSupplier clock;
+    private final LongSupplier epochMilliseconds;
+    private final Consumer<EndedRequest> receiver;
+
+    /**
+     * Counts by the objectives of the configuration in force.
+     *
+     * @param services the configuration in force
+     * @param clock the monotonic clock, in nanoseconds
+     * @param epochMilliseconds the wall clock
+     * @param receiver takes each ended request; must not block
+     */
+    public ServiceLevelOutcomes(
+            Supplier<ServiceMatcher> services,
+            LongSupplier clock,
+            LongSupplier epochMilliseconds,
+            Consumer<EndedRequest> receiver) {
+        this.services = services;
+        this.clock = clock;
+        this.epochMilliseconds = epochMilliseconds;
+        this.receiver = receiver;
+    }
+
+    @Override
+    public void onAnswered(CallTemplate template, int status) {
+        if (status >= FIRST_SERVER_ERROR) {
+            count(template, RequestEnd.FAILED);
+            return;
+        }
+        boolean late = latencyMilliseconds(template) > allowedMilliseconds(template);
+        count(template, late ? RequestEnd.LATE : RequestEnd.ANSWERED_IN_TIME);
+    }
+
+    @Override
+    public void onRefused(CallTemplate template, RefusalReason reason) {
+        switch (reason) {
+            case NOT_ALLOWED, MALFORMED, TOO_LARGE, UNKNOWN_SERVICE -> {}
+            default -> count(template, RequestEnd.REFUSED);
+        }
+    }
+
+    @Override
+    public void onUnknown(CallTemplate template, CallStep step, NodeId peer) {
+        count(template, RequestEnd.UNKNOWN);
+    }
+
+    private void count(CallTemplate template, RequestEnd end) {
+        receiver.accept(
+                new EndedRequest(
+                        template.service(),
+                        template.call().getKind(),
+                        TimeUnit.MILLISECONDS.toMinutes(epochMilliseconds.getAsLong()),
+                        Math.max(1, template.call().getWeight()),
+                        end,
+                        latencyMilliseconds(template)));
+    }
+
+    private long latencyMilliseconds(CallTemplate template) {
+        return TimeUnit.NANOSECONDS.toMillis(clock.getAsLong() - template.arrivalNanoseconds());
+    }
+
+    private long allowedMilliseconds(CallTemplate template) {
+        MatchedService service = services.get().findByName(template.service().value());
+        if (service == null) {
+            return Long.MAX_VALUE;
+        }
+        List<ServiceLevelObjective> objectives = service.configuration().getObjectivesList();
+        return allowedMilliseconds(
+                objectives,
+                template.call().getKind(),
+                allowedMilliseconds(objectives, "", Long.MAX_VALUE));
+    }
+
+    private static long allowedMilliseconds(
+            List<ServiceLevelObjective> objectives, String kind, long otherwise) {
+        for (ServiceLevelObjective objective : objectives) {
+            if (objective.getKind().equals(kind) && objective.getLatencyMilliseconds() > 0) {
+                return objective.getLatencyMilliseconds();
+            }
+        }
+        return otherwise;
+    }
+}
--- a/node/src/main/java/org/damaskmoor/node/internal/entry/OutcomeListener.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/OutcomeListener.java
@@ -14,4 +14,28 @@
 
     /** The caller was told "unknown". */
     void onUnknown(CallTemplate template, CallStep step, NodeId peer);
+
+    /** A listener that tells this one first, then the other. */
+    default OutcomeListener andThen(OutcomeListener other) {
+        OutcomeListener first = this;
+        return new OutcomeListener() {
+            @Override
+            public void onAnswered(CallTemplate template, int status) {
+                first.onAnswered(template, status);
+                other.onAnswered(template, status);
+            }
+
+            @Override
+            public void onRefused(CallTemplate template, RefusalReason reason) {
+                first.onRefused(template, reason);
+                other.onRefused(template, reason);
+            }
+
+            @Override
+            public void onUnknown(CallTemplate template, CallStep step, NodeId peer) {
+                first.onUnknown(template, step, peer);
+                other.onUnknown(template, step, peer);
+            }
+        };
+    }
 }
--- a/node/src/main/java/org/damaskmoor/node/internal/entry/ServiceRuntimes.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/ServiceRuntimes.java
@@ -78,7 +78,7 @@
     }
 
     /** The services in force. */
-    ServiceMatcher matcher() {
+    public ServiceMatcher matcher() {
         return matcher;
     }
 
--- a/node/src/main/java/org/damaskmoor/node/internal/members/MemberDirectory.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/members/MemberDirectory.java
@@ -81,6 +81,14 @@
         return peers;
     }
 
+    /** Members of all other regions. */
+    public List<MeshPeer> peersOutside(RegionName region) {
+        return snapshot.byNode().values().stream()
+                .filter(member -> !member.getRegion().equals(region.value()))
+                .map(MemberDirectory::meshPeer)
+                .toList();
+    }
+
     private static boolean isPresent(MemberRecord member) {
         return member.getState() == MemberState.ALIVE || member.getState() == MemberState.SUSPECT;
     }
--- a/node/src/main/java/org/damaskmoor/node/internal/members/MembershipDuty.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/members/MembershipDuty.java
@@ -46,6 +46,9 @@
         /** The directory was published anew. */
         void onPublished();
 
+        /** A member is present: new, changed, back, or in a new incarnation. */
+        void onPresent(MemberRecord member);
+
         /** A member is dead or left. */
         void onGone(MemberRecord member);
 
@@ -175,6 +178,8 @@
                 event.region());
         if (event.kind() == Kind.DEAD || event.kind() == Kind.LEFT) {
             listener.onGone(event.member());
+        } else if (event.kind() == Kind.JOINED || event.kind() == Kind.CHANGED) {
+            listener.onPresent(event.member());
         } else if (event.kind() == Kind.SUPERSEDED) {
             listener.onSuperseded();
         }
