Compare refusals with the callers' ledger by caller and reason

Cause: the demo compared one sum, so a refusal counted for the wrong caller or reason went unseen. Change: the callers' ledger names the caller; the demo reads the store through the report's AccountingReader and each caller and reason that differs is a broken promise. The sum by StoredRefusals, which shares no code with the report, stays beside it.

--- a/bench/src/main/java/org/damaskmoor/bench/demo/Demo.java
+++ b/bench/src/main/java/org/damaskmoor/bench/demo/Demo.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.Random;
+import java.util.function.Supplier;
 import org.damaskmoor.bench.demo.Deployment.Service;
 import org.damaskmoor.bench.http.BlockingClient;
 import org.damaskmoor.bench.load.CallRecord;
@@ -13,8 +14,11 @@
 import org.damaskmoor.bench.load.PlannedCall;
 import org.damaskmoor.bench.load.Schedule;
 import org.damaskmoor.bench.verification.InvariantChecker;
+import org.damaskmoor.bench.verification.RefusalComparison;
 import org.damaskmoor.bench.verification.Totals;
 import org.damaskmoor.bench.verification.UpstreamRuns;
+import org.damaskmoor.bench.verification.Violation;
+import org.damaskmoor.core.accounting.RefusalSummary;
 
 /**
  * One whole run: start everything, send load with faults on the way, hold all ledgers against
@@ -35,6 +39,7 @@
     private final BlockingClient client;
     private final ServiceApplier applier;
     private final AccountedRefusals accountedRefusals;
+    private final Supplier<RefusalSummary> reportedRefusals;
     private final MeasuringBytes measuringBytes;
     private final Progress progress;
 
@@ -45,6 +50,7 @@
             BlockingClient client,
             ServiceApplier applier,
             AccountedRefusals accountedRefusals,
+            Supplier<RefusalSummary> reportedRefusals,
             MeasuringBytes measuringBytes,
             Progress progress) {
         this.deployment = deployment;
@@ -53,6 +59,7 @@
         this.client = client;
         this.applier = applier;
         this.accountedRefusals = accountedRefusals;
+        this.reportedRefusals = reportedRefusals;
         this.measuringBytes = measuringBytes;
         this.progress = progress;
     }
@@ -108,12 +115,9 @@
                         .filter(place -> children.alive(place.nodeId()))
                         .map(Place::controlUrl)
                         .toList();
-        return new Totals(
-                warmUp,
-                measured,
-                new InvariantChecker(runs()).check(all),
-                accounted,
-                measuringBytes.sum(controlUrls));
+        List<Violation> violations = new ArrayList<>(new InvariantChecker(runs()).check(all));
+        violations.addAll(new RefusalComparison(all).check(reportedRefusals.get()));
+        return new Totals(warmUp, measured, violations, accounted, measuringBytes.sum(controlUrls));
     }
 
     /** Waits a while for the last flush of refusals. */
--- a/bench/src/main/java/org/damaskmoor/bench/demo/DemoCommand.java
+++ b/bench/src/main/java/org/damaskmoor/bench/demo/DemoCommand.java
@@ -53,6 +53,7 @@
                 client,
                 new TableServiceApplier(client, site.platformUrl()),
                 new StoredRefusals(client),
+                new ReportedRefusals(site.platformUrl()),
                 MeasuringBytes.NOT_MEASURED,
                 progress);
     }
--- a/bench/src/main/java/org/damaskmoor/bench/load/CallRecord.java
+++ b/bench/src/main/java/org/damaskmoor/bench/load/CallRecord.java
@@ -3,6 +3,7 @@
 /**
  * One line of the callers' ledger: one send and what came of it. Immutable.
  *
+ * @param caller the caller's name
  * @param key the Idempotency-Key; empty for a request without one
  * @param attempt which send of this request it was, from 1
  * @param nonIdempotent true when the request must run at most once
@@ -13,6 +14,7 @@
  * @param latencyNanoseconds time since the send was due
  */
 public record CallRecord(
+        String caller,
         String key,
         int attempt,
         boolean nonIdempotent,
--- a/bench/src/main/java/org/damaskmoor/bench/load/Caller.java
+++ b/bench/src/main/java/org/damaskmoor/bench/load/Caller.java
@@ -89,6 +89,7 @@
         }
         ledger.accept(
                 new CallRecord(
+                        call.caller(),
                         call.key(),
                         attempt,
                         call.booking(),
--- /dev/null
+++ b/bench/src/main/java/org/damaskmoor/bench/verification/RefusalComparison.java
@@ -0,0 +1,62 @@
+package org.damaskmoor.bench.verification;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeSet;
+import org.damaskmoor.bench.load.CallRecord;
+import org.damaskmoor.bench.load.Outcome;
+import org.damaskmoor.bench.verification.Violation.Kind;
+import org.damaskmoor.core.accounting.RefusalSummary;
+import org.damaskmoor.core.accounting.RefusalSummary.Line;
+import org.damaskmoor.schema.mesh.RefusalReason;
+
+/**
+ * Holds the refusals that are accounted for against the callers' ledger, by caller and reason.
+ *
+ * <pre>{@code
+ * List<Violation> differing = new RefusalComparison(callRecords).check(summary);
+ * }</pre>
+ *
+ * <p>Immutable and safe for all threads.
+ */
+public final class RefusalComparison {
+    private final Map<String, Long> told = new HashMap<>();
+
+    public RefusalComparison(List<CallRecord> records) {
+        records.stream()
+                .filter(line -> !line.direct() && line.outcome() == Outcome.REFUSED)
+                .forEach(line -> told.merge(key(line.caller(), line.reason()), 1L, Long::sum));
+    }
+
+    /** Returns a violation for each caller and reason whose counts differ. */
+    public List<Violation> check(RefusalSummary summary) {
+        Map<String, Long> accounted = new HashMap<>();
+        for (Line line : summary.lines()) {
+            String key = key(line.key().caller(), wireName(line.key().reason()));
+            accounted.merge(key, line.count(), Long::sum);
+        }
+        TreeSet<String> keys = new TreeSet<>(told.keySet());
+        keys.addAll(accounted.keySet());
+        List<Violation> found = new ArrayList<>();
+        for (String key : keys) {
+            long expected = told.getOrDefault(key, 0L);
+            long reported = accounted.getOrDefault(key, 0L);
+            if (expected != reported) {
+                String detail = "callers were told " + expected + ", accounted for " + reported;
+                found.add(new Violation(Kind.REFUSALS_DIFFER, key, detail));
+            }
+        }
+        return found;
+    }
+
+    private static String key(String caller, String reason) {
+        return caller + "/" + reason;
+    }
+
+    private static String wireName(RefusalReason reason) {
+        return reason.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
--- a/bench/src/main/java/org/damaskmoor/bench/verification/Violation.java
+++ b/bench/src/main/java/org/damaskmoor/bench/verification/Violation.java
@@ -17,6 +17,8 @@
         /** An answer was another request's or not whole. */
         CROSSED_ANSWER,
         /** A booking was answered as done and no upstream ran it. */
-        ANSWERED_WITHOUT_RUN
+        ANSWERED_WITHOUT_RUN,
+        /** The refusals accounted for are not those that a caller was told, for one reason. */
+        REFUSALS_DIFFER
     }
 }
