Claim idempotency keys in the table service; answer a taken key unknown

Change: TableClaims inserts a row by condition before the run. A lost answer is settled by reading back; an earlier attempt's row is taken over by rewriting it, never the other way round, so that neither a late release nor a late insert of the former target unprotects the run. A call that ends truthfully not run gives its claim back, also when it is sealed while the claim is on its way, and when the table service gave no answer but may have written. A key that an earlier request holds is answered unknown, not "not run": true of the resend, "not run" would be read as speaking of the booking. Ruled out: release before the refusal is told, which adds a round trip to each refusal (a resend that overtakes the release is told unknown); claims kept by request id alone, as a late release could then delete a row in use. Left: rows of old claims are not deleted yet.

--- a/node/src/main/java/org/damaskmoor/node/NodeProcess.java
+++ b/node/src/main/java/org/damaskmoor/node/NodeProcess.java
@@ -24,6 +24,7 @@
 import org.damaskmoor.node.internal.accounting.AccountingDuty;
 import org.damaskmoor.node.internal.accounting.AccountingFactory;
 import org.damaskmoor.node.internal.accounting.ServiceLevelOutcomes;
+import org.damaskmoor.node.internal.claims.TableClaims;
 import org.damaskmoor.node.internal.configuration.ConfigurationDuty;
 import org.damaskmoor.node.internal.control.ControlServer;
 import org.damaskmoor.node.internal.duty.DutyLoop;
@@ -43,7 +44,7 @@
 import org.damaskmoor.node.internal.mesh.SelfLink;
 import org.damaskmoor.node.internal.metrics.MetricsText;
 import org.damaskmoor.node.internal.metrics.NodeMetrics;
-import org.damaskmoor.node.internal.target.ClaimService.Claim;
+import org.damaskmoor.node.internal.target.ClaimService;
 import org.damaskmoor.node.internal.target.TargetDuty;
 import org.damaskmoor.node.internal.target.TargetDuty.TargetLimits;
 import org.damaskmoor.node.internal.target.TargetDuty.UpstreamStatus;
@@ -78,6 +79,7 @@
     private static final Duration SILENCE_TIMEOUT = Duration.ofSeconds(1);
     private static final long LEAVE_NOTICE_MILLISECONDS = 1_000;
     private static final long IDLE_CHECK_MILLISECONDS = 20;
+    private static final long CLAIM_RELEASE_PAUSE_MILLISECONDS = 1_000;
 
     private final NodeSettings settings;
     private final NodeId self;
@@ -330,10 +332,20 @@
                 limits,
                 System::nanoTime,
                 System::currentTimeMillis,
-                (call, whenDone) -> whenDone.accept(Claim.UNAVAILABLE),
+                claims(incarnation),
                 this::onUpstreamStatus);
     }
 
+    private ClaimService claims(Incarnation incarnation) {
+        return new TableClaims(
+                self,
+                incarnation,
+                platform.tableService(URI.create(settings.getTableServiceUrl())),
+                System::currentTimeMillis,
+                upstreamLoop::execute,
+                later(CLAIM_RELEASE_PAUSE_MILLISECONDS));
+    }
+
     private EntryDuty entryDuty(Incarnation incarnation) {
         EntrySettings entrySettings =
                 new EntrySettings(
--- a/node/src/main/java/org/damaskmoor/node/internal/target/ClaimService.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/target/ClaimService.java
@@ -3,7 +3,12 @@
 import java.util.function.Consumer;
 import org.damaskmoor.schema.mesh.Call;
 
-/** Claims an idempotency key for a call before it runs. Confined to the upstream event loop. */
+/**
+ * Claims an idempotency key for a call before it runs. Confined to the upstream event loop.
+ *
+ * <p>Invariant: an implementation that answers {@link Claim#UNAVAILABLE} may have claimed all the
+ * same; {@link #release} then gives the claim back.
+ */
 @FunctionalInterface
 public interface ClaimService {
     /** What came of a claim. */
@@ -22,4 +27,7 @@
      * @param whenDone gets the result once, on the upstream event loop
      */
     void claim(Call call, Consumer<Claim> whenDone);
+
+    /** Gives the claim of a call back, if it stands, because the call did not run. */
+    default void release(Call call) {}
 }
--- a/node/src/main/java/org/damaskmoor/node/internal/target/TargetDispatcher.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/target/TargetDispatcher.java
@@ -48,7 +48,7 @@
     private final AdmissionController admission;
     private final UpstreamRegistration upstream;
     private final UpstreamClient client;
-    private final ClaimService claims;
+    private final HeldClaims claims;
     private final TargetTiming timing;
     private final Map<RequestId, OpenCall> open = new HashMap<>();
     private final Waiters waiters;
@@ -64,7 +64,7 @@
         this.admission = admission;
         this.upstream = upstream;
         this.client = client;
-        this.claims = claims;
+        this.claims = new HeldClaims(claims);
         this.timing = timing;
         this.waiters = new Waiters(() -> admission.loadReport(timing.now()));
     }
@@ -135,13 +135,14 @@
 
     private void onNew(Waiter waiter, Call call, long deadline) {
         RequestId id = waiter.id();
-        open.put(id, new OpenCall(id, call, deadline));
+        OpenCall opened = new OpenCall(id, call, deadline);
+        open.put(id, opened);
         waiters.add(waiter);
         waiter.link().send(TargetFrames.accepted(waiter));
         if (!upstream.serves(call.getService())) {
             refuse(id, CallRefusal.of(RefusalReason.NO_UPSTREAM));
-        } else if (call.getClaim() && !call.getIdempotencyKey().isEmpty()) {
-            claims.claim(call, claim -> onClaim(id, claim));
+        } else if (HeldClaims.isNeeded(call)) {
+            claims.claim(opened, claim -> onClaim(id, claim));
         } else {
             offer(id);
         }
@@ -150,11 +151,23 @@
     private void onClaim(RequestId id, ClaimService.Claim claim) {
         switch (claim) {
             case GRANTED -> offer(id);
-            case TAKEN -> refuse(id, CallRefusal.of(RefusalReason.CLAIMED_ELSEWHERE));
+            case TAKEN -> onTaken(id);
             case UNAVAILABLE -> refuse(id, CallRefusal.of(RefusalReason.CLAIM_UNAVAILABLE));
         }
     }
 
+    /**
+     * An earlier request with the same key may have run. "Not run" would be true of this request,
+     * but a caller that resends asks about the earlier one: so it is told "unknown".
+     */
+    private void onTaken(RequestId id) {
+        if (ledger.handOver(id, timing.now()) == HandOverResult.RUN) {
+            fail(id, "an earlier request with this key may have run; ask the service");
+        } else {
+            tell(id, CallRefusal.of(RefusalReason.DEADLINE_PASSED));
+        }
+    }
+
     private void offer(RequestId id) {
         OpenCall call = open.get(id);
         if (call == null) {
@@ -222,6 +235,7 @@
             waiters.tellAnswer(sharing, timed);
         }
         open.remove(id);
+        claims.onRun(id);
     }
 
     private void onNotRun(RequestId id, long started, UpstreamOutcome.NotRun notRun) {
@@ -239,14 +253,20 @@
 
     private void onFailed(RequestId id, long started, UpstreamOutcome.Failed failed) {
         finishAdmission(id, started, AdmissionOutcome.FAILED);
-        ledger.failed(id);
         logger.atWarning().log(
                 "event=upstream-failed step=hand-over peer=upstream request=%s detail=%s",
                 id, failed.detail());
+        fail(id, failed.detail());
+    }
+
+    /** Tells all who wait for the call that it is unknown whether it ran. */
+    private void fail(RequestId id, String detail) {
+        ledger.failed(id);
         for (RequestId sharing : ledger.sharing(id)) {
-            waiters.tellFailure(sharing, failed.detail());
+            waiters.tellFailure(sharing, detail);
         }
         open.remove(id);
+        claims.onRun(id);
     }
 
     private void finishAdmission(RequestId id, long started, AdmissionOutcome outcome) {
@@ -273,7 +293,7 @@
         for (RequestId sharing : ledger.sharing(id)) {
             waiters.tellRefusal(sharing, refusal);
         }
-        open.remove(id);
+        close(id);
     }
 
     private void onKnown(Waiter waiter, Acceptance acceptance) {
@@ -318,7 +338,15 @@
     }
 
     private void forget(RequestId id) {
-        open.remove(id);
+        close(id);
         waiters.remove(id);
     }
+
+    /** The call ended and did not run. */
+    private void close(RequestId id) {
+        OpenCall closed = open.remove(id);
+        if (closed != null) {
+            claims.onNotRun(closed);
+        }
+    }
 }
