--- a/node/src/main/java/org/damaskmoor/node/internal/accounting/AccountingDuty.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/accounting/AccountingDuty.java
@@ -32,7 +32,7 @@
  * <pre>{@code
  * accounting.start();
  * accounting.record(refusal, id -> reply(id));    // caller event loop
- * accounting.flush().join();                      // planned stop: nothing is left to write
+ * accounting.flush(10_000).join();                // planned stop
  * }</pre>
  *
  * <p>Thread-safe but for {@link #record}, which belongs to the caller event loop; everything else
@@ -162,23 +162,34 @@
     }
 
     /**
-     * Flushes until nothing is left, before a planned stop; whoever waits bounds the time. Refusals
-     * and requests that come meanwhile are flushed too.
+     * Flushes until nothing is left, before a planned stop. Refusals and requests that come
+     * meanwhile are flushed too.
+     *
+     * @param longestMilliseconds when to give up; what is left is then lost, but for what a peer
+     *     stored
      */
-    public CompletableFuture<Void> flush() {
+    public CompletableFuture<Void> flush(long longestMilliseconds) {
         CompletableFuture<Void> whenFlushed = new CompletableFuture<>();
-        Runnable begin =
-                () -> {
-                    flushed = whenFlushed;
-                    wake();
-                };
         parts.callers()
                 .execute(
                         () -> {
                             overflow.handOver();
-                            parts.accounting().execute(begin);
+                            parts.accounting().execute(() -> beginFlush(whenFlushed));
                         });
-        return whenFlushed;
+        return whenFlushed
+                .orTimeout(Math.max(1, longestMilliseconds), TimeUnit.MILLISECONDS)
+                .exceptionally(AccountingDuty::logUnflushed);
+    }
+
+    private void beginFlush(CompletableFuture<Void> whenFlushed) {
+        flushed = whenFlushed;
+        wake();
+    }
+
+    private static Void logUnflushed(Throwable failure) {
+        logger.atWarning().log(
+                "event=accounting-unflushed step=flush peer=object-store detail=%s", failure);
+        return null;
     }
 
     private void take(RefusalIntake.Taken taken) {
--- a/node/src/main/java/org/damaskmoor/node/internal/accounting/ServiceLevelOutcomes.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/accounting/ServiceLevelOutcomes.java
@@ -42,7 +42,7 @@
      * @param epochMilliseconds the wall clock
      * @param receiver takes each ended request; must not block
      */
-    public ServiceLevelOutcomes(
+    ServiceLevelOutcomes(
             Supplier<ServiceMatcher> services,
             LongSupplier clock,
             LongSupplier epochMilliseconds,
@@ -53,6 +53,13 @@
         this.receiver = receiver;
     }
 
+    /** Counts by the clocks of this process. */
+    public static ServiceLevelOutcomes of(
+            Supplier<ServiceMatcher> services, Consumer<EndedRequest> receiver) {
+        return new ServiceLevelOutcomes(
+                services, System::nanoTime, System::currentTimeMillis, receiver);
+    }
+
     @Override
     public void onAnswered(CallTemplate template, int status) {
         if (status >= FIRST_SERVER_ERROR) {
