--- a/node/src/main/java/org/damaskmoor/node/NodeProcess.java
+++ b/node/src/main/java/org/damaskmoor/node/NodeProcess.java
@@ -18,13 +18,16 @@
 import org.damaskmoor.mesh.NettyMeshTransport;
 import org.damaskmoor.mesh.gossip.GossipTransport;
 import org.damaskmoor.node.internal.NodeParameters;
+import org.damaskmoor.node.internal.accounting.AccountingDuty;
+import org.damaskmoor.node.internal.accounting.AccountingFactory;
+import org.damaskmoor.node.internal.accounting.ServiceLevelOutcomes;
+import org.damaskmoor.node.internal.claims.TableClaims;
 import org.damaskmoor.node.internal.configuration.ConfigurationDuty;
 import org.damaskmoor.node.internal.control.ControlServer;
 import org.damaskmoor.node.internal.duty.DutyLoop;
 import org.damaskmoor.node.internal.entry.EntryDuty;
 import org.damaskmoor.node.internal.entry.EntryParts;
 import org.damaskmoor.node.internal.entry.MeshCarrier;
-import org.damaskmoor.node.internal.entry.RefusalRecorder;
 import org.damaskmoor.node.internal.entry.ServiceRuntimes;
 import org.damaskmoor.node.internal.entry.ServiceRuntimes.ChoicePolicyFactory;
 import org.damaskmoor.node.internal.members.JoinPoints;
@@ -35,7 +38,7 @@
 import org.damaskmoor.node.internal.mesh.SelfLink;
 import org.damaskmoor.node.internal.metrics.MetricsText;
 import org.damaskmoor.node.internal.metrics.NodeMetrics;
-import org.damaskmoor.node.internal.target.ClaimService.Claim;
+import org.damaskmoor.node.internal.target.ClaimService;
 import org.damaskmoor.node.internal.target.TargetDuty;
 import org.damaskmoor.node.internal.target.TargetDuty.UpstreamStatus;
 import org.damaskmoor.platform.PlatformClient;
@@ -64,6 +67,7 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final long LEAVE_NOTICE_MILLISECONDS = 1_000;
     private static final long IDLE_CHECK_MILLISECONDS = 20;
+    private static final long CLAIM_RELEASE_PAUSE_MILLISECONDS = 1_000;
 
     private final NodeSettings settings;
     private final NodeParameters parameters;
@@ -71,11 +75,13 @@
     private final DutyLoop callerLoop = new DutyLoop("callers");
     private final DutyLoop upstreamLoop = new DutyLoop("upstream");
     private final DutyLoop controlLoop = new DutyLoop("control");
+    private final DutyLoop accountingLoop = new DutyLoop("accounting");
     private final MetricRegistry metrics = new MetricRegistry();
     private final MemberDirectory members = new MemberDirectory();
     private final PlatformClient platform;
     private final NettyMeshTransport mesh;
     private final GossipTransport gossip;
+    private final AccountingDuty accounting;
     private final EntryDuty entry;
     private final TargetDuty target;
     private final ConfigurationDuty configuration;
@@ -104,6 +110,9 @@
                         new InetSocketAddress(settings.getAddress(), settings.getGossipPort()),
                         this::onDatagram,
                         customizer);
+        accounting =
+                AccountingFactory.create(
+                        settings, incarnation, callerLoop, accountingLoop, members, mesh, platform);
         target = targetDuty(incarnation);
         entry = entryDuty(incarnation);
         configuration =
@@ -165,7 +174,8 @@
         return CompletableFuture.runAsync(() -> {}, later(LEAVE_NOTICE_MILLISECONDS))
                 .thenCompose(noticed -> entry.stop())
                 .thenCompose(closed -> whenTargetIdle(deadline))
-                .thenCompose(idle -> leave())
+                .thenCompose(idle -> accounting.flush(deadline - monotonicMilliseconds()))
+                .thenCompose(flushed -> leave())
                 .thenCompose(left -> control.stop())
                 .thenCompose(stopped -> mesh.stop())
                 .thenCompose(stopped -> gossip.close())
@@ -198,6 +208,7 @@
         callerLoop.stop();
         upstreamLoop.stop();
         controlLoop.stop();
+        accountingLoop.stop();
         platform.close();
         logger.atInfo().log("event=node-stopped node=%s", self);
     }
@@ -207,6 +218,7 @@
     }
 
     private void startTicks() {
+        accounting.start();
         controlLoop.execute(
                 () -> configuration.begin(membership.nearestPeers(), monotonicMilliseconds()));
         SplittableRandom turns = new SplittableRandom();
@@ -231,7 +243,7 @@
                 this::onTargetFrame,
                 (link, frame) -> link.send(loadAnswer()),
                 (link, frame) -> controlLoop.execute(() -> configuration.onFrame(link, frame)),
-                (link, frame) -> {},
+                (link, frame) -> accounting().onFrame(link, frame),
                 this::onUnsent,
                 (peer, lastUsed) -> entry.onLinkLost(peer, lastUsed));
     }
@@ -277,10 +289,20 @@
                 parameters.target(),
                 System::nanoTime,
                 System::currentTimeMillis,
-                (call, whenDone) -> whenDone.accept(Claim.UNAVAILABLE),
+                claims(incarnation),
                 this::onUpstreamStatus);
     }
 
+    private ClaimService claims(Incarnation incarnation) {
+        return new TableClaims(
+                self,
+                incarnation,
+                platform.tableService(URI.create(settings.getTableServiceUrl())),
+                System::currentTimeMillis,
+                upstreamLoop::execute,
+                later(CLAIM_RELEASE_PAUSE_MILLISECONDS));
+    }
+
     private EntryDuty entryDuty(Incarnation incarnation) {
         SelfLink selfLink = new SelfLink(self, incarnation, frame -> entry().offer(frame));
         MeshCarrier carrier =
@@ -290,24 +312,27 @@
                         mesh,
                         frame -> target.offer(selfLink, frame),
                         (frame, reason) -> entry().onUnsent(frame, reason));
+        ServiceRuntimes runtimes = serviceRuntimes();
         EntryParts parts =
                 new EntryParts(
                         System::nanoTime,
                         System::currentTimeMillis,
                         callerLoop.timers(),
                         carrier,
-                        refusals(),
-                        new NodeMetrics(metrics, System::nanoTime));
-        return new EntryDuty(
-                callerLoop, self, incarnation, parameters.entry(), serviceRuntimes(), parts);
+                        accounting,
+                        new NodeMetrics(metrics, System::nanoTime)
+                                .andThen(
+                                        ServiceLevelOutcomes.of(
+                                                runtimes::matcher, accounting::onEnded)));
+        return new EntryDuty(callerLoop, self, incarnation, parameters.entry(), runtimes, parts);
     }
 
     private EntryDuty entry() {
         return entry;
     }
 
-    private RefusalRecorder refusals() {
-        return (refusal, whenRecorded) -> whenRecorded.accept("not-recorded");
+    private AccountingDuty accounting() {
+        return accounting;
     }
 
     private ServiceRuntimes serviceRuntimes() {
@@ -348,8 +373,14 @@
             entry.onMembers();
         }
 
+        @Override
+        public void onPresent(MemberRecord member) {
+            accounting.onPresent(member);
+        }
+
         @Override
         public void onGone(MemberRecord member) {
+            accounting.onGone(member);
             configuration.forget(new NodeId(member.getNodeId()));
         }
 
