--- a/core/src/main/java/org/damaskmoor/core/settings/SettingsReader.java
+++ b/core/src/main/java/org/damaskmoor/core/settings/SettingsReader.java
@@ -1,5 +1,6 @@
 package org.damaskmoor.core.settings;
 
+import com.google.protobuf.Descriptors.Descriptor;
 import com.google.protobuf.Descriptors.FieldDescriptor;
 import com.google.protobuf.Descriptors.FieldDescriptor.JavaType;
 import com.google.protobuf.Message;
@@ -51,9 +52,11 @@
         return (T) builder.build();
     }
 
-    /** The environment variable that stands for a flag. */
-    public static String environmentVariable(String flag) {
-        return ENVIRONMENT_PREFIX + flag.substring(2).replace('-', '_').toUpperCase(Locale.ROOT);
+    /** The environment variable that stands for a flag of the settings message. */
+    public static String environmentVariable(Descriptor settings, String flag) {
+        String prefix = settings.getOptions().getExtension(SettingsProto.environmentPrefix);
+        return (prefix.isEmpty() ? ENVIRONMENT_PREFIX : prefix)
+                + flag.substring(2).replace('-', '_').toUpperCase(Locale.ROOT);
     }
 
     private static Optional<SettingFault> readField(
@@ -62,7 +65,11 @@
             Map<String, String> environment,
             Message.Builder builder) {
         Setting setting = field.getOptions().getExtension(SettingsProto.setting);
-        String given = given(setting, flags, environment);
+        String variable = environmentVariable(field.getContainingType(), setting.getFlag());
+        String given =
+                flags.getOrDefault(
+                        setting.getFlag(),
+                        environment.getOrDefault(variable, setting.getDefaultValue()));
         if (given.isEmpty() && setting.getRequired()) {
             return Optional.of(new SettingFault(setting.getFlag(), "", allowed(setting)));
         }
@@ -75,14 +82,6 @@
         return readNumber(field, setting, given, builder);
     }
 
-    private static String given(
-            Setting setting, Map<String, String> flags, Map<String, String> environment) {
-        String flag = setting.getFlag();
-        String fromEnvironment =
-                environment.getOrDefault(environmentVariable(flag), setting.getDefaultValue());
-        return flags.getOrDefault(flag, fromEnvironment);
-    }
-
     private static Optional<SettingFault> readText(
             FieldDescriptor field, Setting setting, String given, Message.Builder builder) {
         boolean listed = setting.getAllowedCount() == 0 || setting.getAllowedList().contains(given);
--- a/scripts/GenerateSettingsOptions.java
+++ b/scripts/GenerateSettingsOptions.java
@@ -80,7 +80,7 @@
         for (FieldDescriptor field : message.getFields()) {
             Setting setting = setting(field);
             text.append("| `").append(setting.getFlag()).append("` | `");
-            text.append(environmentVariable(setting)).append("` | ");
+            text.append(environmentVariable(message, setting)).append("` | ");
             text.append(setting.getRequired() ? "required" : setting.getDefaultValue());
             text.append(" | ").append(allowed(setting)).append(" | ");
             text.append(setting.getDescription()).append(" |\n");
@@ -88,8 +88,9 @@
         return text.append("\n").toString();
     }
 
-    private static String environmentVariable(Setting setting) {
-        return "DAMASKMOOR_" + setting.getFlag().substring(2).replace('-', '_').toUpperCase();
+    private static String environmentVariable(Descriptor message, Setting setting) {
+        String prefix = message.getOptions().getExtension(SettingsProto.environmentPrefix);
+        return (prefix.isEmpty() ? "DAMASKMOOR_" : prefix) + setting.getFlag().substring(2).replace('-', '_').toUpperCase();
     }
 
     private static String allowed(Setting setting) {
