Serve operators by gRPC in the node

The node answers ApplyService, DeleteService, GetService, ListServices, GetStatus, DrainNode and Explain on a thread of its own; each call is handed to the event loop of the duty it concerns.

--- a/node/src/main/java/org/damaskmoor/node/NodeMain.java
+++ b/node/src/main/java/org/damaskmoor/node/NodeMain.java
@@ -2,10 +2,12 @@
 
 import com.github.rvesse.airline.SingleCommand;
 import com.github.rvesse.airline.parser.errors.ParseException;
+import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CountDownLatch;
 import org.damaskmoor.core.settings.SettingsException;
 import org.damaskmoor.mesh.ChannelCustomizer;
+import org.damaskmoor.node.internal.security.NodeSecurity;
 import org.damaskmoor.schema.settings.NodeSettings;
 
 /** Entry point of the binary damaskmoor-node. */
@@ -23,18 +25,20 @@
     /** Runs a node until it is told to stop; returns the exit code. */
     public static int run(String[] arguments, ChannelCustomizer customizer) {
         NodeSettings settings;
+        Optional<NodeSecurity> security;
         try {
             NodeCommand command = SingleCommand.singleCommand(NodeCommand.class).parse(arguments);
             if (command.showedHelp()) {
                 return EXIT_PLANNED_STOP;
             }
             settings = command.settings(System.getenv());
+            security = NodeSecurity.read(settings);
         } catch (SettingsException | ParseException unusable) {
             System.err.println(unusable.getMessage());
             return EXIT_BAD_SETTING;
         }
         NodeLogging.configure(settings.getLogLevel());
-        return start(new NodeProcess(settings, customizer));
+        return start(new NodeProcess(settings, security, customizer));
     }
 
     private static int start(NodeProcess node) {
--- a/node/src/main/java/org/damaskmoor/node/NodeProcess.java
+++ b/node/src/main/java/org/damaskmoor/node/NodeProcess.java
@@ -10,10 +10,12 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.damaskmoor.core.configuration.ServiceMatcher;
+import org.damaskmoor.core.configuration.ServiceTable;
 import org.damaskmoor.core.id.DataCentreName;
 import org.damaskmoor.core.id.Incarnation;
 import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.core.id.RegionName;
+import org.damaskmoor.core.id.ServiceName;
 import org.damaskmoor.core.membership.MembershipProtocol;
 import org.damaskmoor.core.routing.RoutingOptions;
 import org.damaskmoor.mesh.ChannelCustomizer;
@@ -41,6 +43,13 @@
 import org.damaskmoor.node.internal.mesh.SelfLink;
 import org.damaskmoor.node.internal.metrics.MetricsText;
 import org.damaskmoor.node.internal.metrics.NodeMetrics;
+import org.damaskmoor.node.internal.operator.DrainCall;
+import org.damaskmoor.node.internal.operator.ExplainCall;
+import org.damaskmoor.node.internal.operator.OperatorServer;
+import org.damaskmoor.node.internal.operator.OperatorService;
+import org.damaskmoor.node.internal.operator.ServiceCalls;
+import org.damaskmoor.node.internal.operator.StatusCall;
+import org.damaskmoor.node.internal.security.NodeSecurity;
 import org.damaskmoor.node.internal.target.ClaimService.Claim;
 import org.damaskmoor.node.internal.target.TargetDuty;
 import org.damaskmoor.node.internal.target.TargetDuty.TargetLimits;
@@ -60,7 +69,7 @@
  * One node: the process beside an upstream VM, with all of its duties.
  *
  * <pre>{@code
- * NodeProcess node = new NodeProcess(settings, ChannelCustomizer.NONE);
+ * NodeProcess node = new NodeProcess(settings, Optional.empty(), ChannelCustomizer.NONE);
  * node.start().join();
  * node.stop().join();
  * }</pre>
@@ -76,8 +85,10 @@
     private static final Duration SILENCE_TIMEOUT = Duration.ofSeconds(1);
     private static final long LEAVE_NOTICE_MILLISECONDS = 1_000;
     private static final long IDLE_CHECK_MILLISECONDS = 20;
+    private static final String PROBED_SERVICE = "status-probe";
 
     private final NodeSettings settings;
+    private final Optional<NodeSecurity> security;
     private final NodeId self;
     private final DutyLoop callerLoop = new DutyLoop("callers");
     private final DutyLoop upstreamLoop = new DutyLoop("upstream");
@@ -92,20 +103,25 @@
     private final ConfigurationDuty configuration;
     private final MembershipDuty membership;
     private final ControlServer control;
+    private final OperatorServer operators;
     private volatile boolean stopping;
 
     /**
      * Creates a node that is not started.
      *
      * @param settings checked settings
+     * @param security TLS towards other nodes and operators, or empty for none
      * @param customizer changes each channel to other nodes before it is used
      */
-    public NodeProcess(NodeSettings settings, ChannelCustomizer customizer) {
+    public NodeProcess(
+            NodeSettings settings, Optional<NodeSecurity> security, ChannelCustomizer customizer) {
         this.settings = settings;
+        this.security = security;
         this.self = new NodeId(settings.getNodeId());
         Incarnation incarnation = new Incarnation(System.currentTimeMillis());
         platform = new PlatformClient(PlatformClientLimits.defaults(), new SplittableRandom());
         TableService tables = platform.tableService(URI.create(settings.getTableServiceUrl()));
+        ServiceTable serviceTable = new PlatformServiceTable(tables);
         mesh =
                 new NettyMeshTransport(
                         meshSettings(incarnation), new FrameRouter(receivers()), customizer);
@@ -121,7 +137,7 @@
                         controlLoop::execute,
                         members,
                         mesh,
-                        new PlatformServiceTable(tables),
+                        serviceTable,
                         version -> membership().protocol().spread(version),
                         this::onConfiguration);
         membership =
@@ -146,6 +162,7 @@
                         this::isReady,
                         target::drain,
                         new MetricsText(metrics));
+        operators = operatorServer(serviceTable);
     }
 
     /** Opens all ports and joins the other nodes; completes when the ports are open. */
@@ -153,6 +170,7 @@
         return mesh.start()
                 .thenCompose(done -> gossip.start())
                 .thenCompose(address -> control.start())
+                .thenCompose(done -> operators.start())
                 .thenCompose(done -> entry.start())
                 .thenRun(this::startTicks);
     }
@@ -175,7 +193,8 @@
         return CompletableFuture.runAsync(() -> {}, later(LEAVE_NOTICE_MILLISECONDS))
                 .thenCompose(noticed -> entry.stop())
                 .thenCompose(closed -> whenTargetIdle(deadline))
-                .thenCompose(idle -> leave())
+                .thenCompose(idle -> operators.stop())
+                .thenCompose(stopped -> leave())
                 .thenCompose(left -> control.stop())
                 .thenCompose(stopped -> mesh.stop())
                 .thenCompose(stopped -> gossip.close())
@@ -244,7 +263,26 @@
                 MESH_RING_FRAMES,
                 CONNECT_TIMEOUT,
                 SILENCE_TIMEOUT,
-                Optional.empty());
+                security.map(NodeSecurity::mesh));
+    }
+
+    private OperatorServer operatorServer(ServiceTable table) {
+        OperatorService service =
+                new OperatorService(
+                        new ServiceCalls(
+                                controlLoop::execute, configuration, System::currentTimeMillis),
+                        new StatusCall(
+                                controlLoop::execute,
+                                membership.protocol(),
+                                configuration,
+                                target::lastLoad,
+                                () -> table.read(new ServiceName(PROBED_SERVICE))),
+                        new DrainCall(self, members, target::drain),
+                        new ExplainCall(entry::explain));
+        return new OperatorServer(
+                new InetSocketAddress(settings.getOperatorAddress(), settings.getOperatorPort()),
+                security.map(NodeSecurity::operators),
+                service);
     }
 
     private FrameReceivers receivers() {
--- a/node/src/main/java/org/damaskmoor/node/internal/configuration/ConfigurationDuty.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/configuration/ConfigurationDuty.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.BiConsumer;
@@ -18,6 +19,7 @@
 import org.damaskmoor.core.configuration.ServiceMatcher;
 import org.damaskmoor.core.configuration.ServiceTable;
 import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.core.id.ServiceName;
 import org.damaskmoor.mesh.MeshLink;
 import org.damaskmoor.mesh.MeshPeer;
 import org.damaskmoor.mesh.MeshTransport;
@@ -104,6 +106,11 @@
         return store.all();
     }
 
+    /** What is held of a service, also when it was deleted. */
+    public Optional<VersionedConfiguration> find(ServiceName service) {
+        return store.find(service);
+    }
+
     /** How other nodes' configurations stand to this one's. */
     public PeerConfigurations peers() {
         return peers;
@@ -172,6 +179,7 @@
 
     private void onAccepted(VersionedConfiguration accepted) {
         matcher = ServiceMatcher.of(store.all());
+        peers.onOwnDigest(store.digest());
         spread.accept(ConfigurationStore.versionOf(accepted));
         onChange.accept(matcher);
         logger.atInfo().log(
--- a/node/src/main/java/org/damaskmoor/node/internal/entry/EntryDuty.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/EntryDuty.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
 import org.damaskmoor.core.configuration.ServiceMatcher;
@@ -29,6 +30,7 @@
     private final DutyLoop loop;
     private final ServiceRuntimes runtimes;
     private final EntryDispatcher dispatcher;
+    private final RequestExplainer explainer;
     private final CallerServer server;
     private final BoundedMailbox<MeshFrame> mailbox;
 
@@ -51,6 +53,7 @@
             EntryParts parts) {
         this.loop = loop;
         this.runtimes = runtimes;
+        this.explainer = new RequestExplainer(runtimes, parts.clock());
         this.dispatcher =
                 new EntryDispatcher(
                         self,
@@ -134,4 +137,9 @@
     public void onConfiguration(ServiceMatcher changed) {
         loop.execute(() -> runtimes.onConfiguration(changed));
     }
+
+    /** Where a request would go now; empty when no such service is in force. */
+    public CompletableFuture<Optional<RequestExplanation>> explain(RequestDescription request) {
+        return CompletableFuture.supplyAsync(() -> explainer.explain(request), loop::execute);
+    }
 }
--- /dev/null
+++ b/node/src/main/java/org/damaskmoor/node/internal/operator/ExplainCall.java
@@ -0,0 +1,143 @@
+package org.damaskmoor.node.internal.operator;
+
+import io.grpc.Status;
+import io.grpc.StatusRuntimeException;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.damaskmoor.core.configuration.MatchedService;
+import org.damaskmoor.core.id.ServiceName;
+import org.damaskmoor.core.routing.CandidateWeight;
+import org.damaskmoor.core.routing.Distance;
+import org.damaskmoor.node.internal.entry.RequestDescription;
+import org.damaskmoor.node.internal.entry.RequestExplanation;
+import org.damaskmoor.schema.operator.CandidateExplanation;
+import org.damaskmoor.schema.operator.ExplainRequest;
+import org.damaskmoor.schema.operator.ExplainResponse;
+
+/** Tells operators why a request would go where it goes. Thread-safe. */
+public final class ExplainCall {
+    private static final double NANOSECONDS_PER_MILLISECOND = TimeUnit.MILLISECONDS.toNanos(1);
+    private static final Comparator<CandidateWeight> NEAREST_FIRST =
+            Comparator.comparing(CandidateWeight::distance)
+                    .thenComparing(CandidateWeight::available, Comparator.reverseOrder())
+                    .thenComparingLong(CandidateWeight::expectedNanoseconds)
+                    .thenComparing(weight -> weight.target().id().node());
+
+    private final Function<RequestDescription, CompletableFuture<Optional<RequestExplanation>>>
+            entry;
+
+    /**
+     * Creates the call.
+     *
+     * @param entry explains on the caller event loop; empty when there is no such service
+     */
+    public ExplainCall(
+            Function<RequestDescription, CompletableFuture<Optional<RequestExplanation>>> entry) {
+        this.entry = entry;
+    }
+
+    CompletableFuture<ExplainResponse> explain(ExplainRequest request) {
+        String service = request.getService();
+        if (service.isEmpty()) {
+            return CompletableFuture.failedFuture(notFound(service));
+        }
+        RequestDescription description =
+                new RequestDescription(
+                        new ServiceName(service),
+                        orElse(request.getCaller(), MatchedService.UNIDENTIFIED_CALLER),
+                        orElse(request.getMethod(), "GET"),
+                        orElse(request.getPath(), "/"));
+        return entry.apply(description)
+                .thenApply(
+                        explained ->
+                                response(
+                                        explained.orElseThrow(() -> notFound(service)),
+                                        description.caller()));
+    }
+
+    private static StatusRuntimeException notFound(String service) {
+        return Status.NOT_FOUND
+                .withDescription(
+                        "No service named \""
+                                + service
+                                + "\" is in force here; its requests are refused as"
+                                + " unknown-service.")
+                .asRuntimeException();
+    }
+
+    private static ExplainResponse response(RequestExplanation explained, String caller) {
+        List<CandidateWeight> candidates =
+                explained.candidates().stream().sorted(NEAREST_FIRST).toList();
+        ExplainResponse.Builder response =
+                ExplainResponse.newBuilder()
+                        .setRule(explained.rule().name())
+                        .setAllowed(explained.allowed())
+                        .setNonIdempotent(explained.rule().nonIdempotent())
+                        .setDecision(decision(explained, candidates, caller));
+        candidates.forEach(candidate -> response.addCandidates(explanation(candidate)));
+        return response.build();
+    }
+
+    private static CandidateExplanation explanation(CandidateWeight weight) {
+        return CandidateExplanation.newBuilder()
+                .setNodeId(weight.target().id().node().value())
+                .setDistance(lowerCase(weight.distance()))
+                .setCostMilliseconds(weight.expectedNanoseconds() / NANOSECONDS_PER_MILLISECOND)
+                .setDetail(
+                        String.format(
+                                Locale.ROOT,
+                                "state=%s available=%s expected_load=%.1f share=%.2f",
+                                lowerCase(weight.target().state()),
+                                weight.available(),
+                                weight.expectedLoad(),
+                                weight.share()))
+                .build();
+    }
+
+    private static String decision(
+            RequestExplanation explained, List<CandidateWeight> candidates, String caller) {
+        if (!explained.allowed()) {
+            return "Refused as not-allowed: the rule lets in "
+                    + String.join(", ", explained.rule().allowedCallers().stream().sorted().toList())
+                    + ", not "
+                    + caller
+                    + ".";
+        }
+        long near = candidates.stream().filter(weight -> isOpen(weight, false)).count();
+        long far = candidates.stream().filter(weight -> isOpen(weight, true)).count();
+        if (near + far == 0) {
+            return "Refused: no upstream of the service takes new work.";
+        }
+        if (near == 0) {
+            return "Goes over the paid link to one of "
+                    + far
+                    + " upstreams, because none in this region takes new work.";
+        }
+        String also =
+                explained.regionHeadroomGone()
+                        ? "; as all of them are full, also to one of " + far + " in other regions"
+                        : "";
+        return "Goes to the cheapest of a few sampled from "
+                + near
+                + " upstreams of this region"
+                + also
+                + ".";
+    }
+
+    private static boolean isOpen(CandidateWeight weight, boolean remote) {
+        return weight.available() && (weight.distance() == Distance.REMOTE) == remote;
+    }
+
+    private static String orElse(String given, String otherwise) {
+        return given.isEmpty() ? otherwise : given;
+    }
+
+    private static String lowerCase(Enum<?> value) {
+        return value.name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/damaskmoor/node/internal/operator/ServiceCalls.java
@@ -0,0 +1,122 @@
+package org.damaskmoor.node.internal.operator;
+
+import com.google.common.flogger.FluentLogger;
+import io.grpc.Status;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.function.LongSupplier;
+import org.damaskmoor.core.configuration.ChangeOutcome;
+import org.damaskmoor.core.configuration.ChangeRequest;
+import org.damaskmoor.core.id.ServiceName;
+import org.damaskmoor.node.internal.configuration.ConfigurationDuty;
+import org.damaskmoor.schema.configuration.ServiceConfiguration;
+import org.damaskmoor.schema.configuration.VersionedConfiguration;
+import org.damaskmoor.schema.operator.ApplyServiceRequest;
+import org.damaskmoor.schema.operator.ApplyServiceResponse;
+import org.damaskmoor.schema.operator.DeleteServiceRequest;
+import org.damaskmoor.schema.operator.GetServiceResponse;
+import org.damaskmoor.schema.operator.ListServicesResponse;
+
+/**
+ * Operators' calls about services: they change the table and read what this node holds.
+ *
+ * <p>Thread-safe: everything is handed to the control event loop.
+ */
+public final class ServiceCalls {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+    private final Executor control;
+    private final ConfigurationDuty configuration;
+    private final LongSupplier epochMilliseconds;
+
+    /**
+     * Creates the calls.
+     *
+     * @param control runs tasks on the control event loop
+     * @param configuration carries changes out; used on that loop only
+     * @param epochMilliseconds the wall clock
+     */
+    public ServiceCalls(
+            Executor control, ConfigurationDuty configuration, LongSupplier epochMilliseconds) {
+        this.control = control;
+        this.configuration = configuration;
+        this.epochMilliseconds = epochMilliseconds;
+    }
+
+    CompletableFuture<ApplyServiceResponse> apply(ApplyServiceRequest request) {
+        return change(
+                new ChangeRequest(
+                        request.getService(),
+                        false,
+                        request.getExpectedVersion(),
+                        request.getOperationId(),
+                        request.getOperator(),
+                        epochMilliseconds.getAsLong()));
+    }
+
+    CompletableFuture<ApplyServiceResponse> delete(DeleteServiceRequest request) {
+        return change(
+                new ChangeRequest(
+                        ServiceConfiguration.newBuilder().setName(request.getName()).build(),
+                        true,
+                        request.getExpectedVersion(),
+                        request.getOperationId(),
+                        request.getOperator(),
+                        epochMilliseconds.getAsLong()));
+    }
+
+    CompletableFuture<GetServiceResponse> find(String name) {
+        return CompletableFuture.supplyAsync(() -> response(name), control);
+    }
+
+    CompletableFuture<ListServicesResponse> list() {
+        return CompletableFuture.supplyAsync(
+                () -> {
+                    ListServicesResponse.Builder response = ListServicesResponse.newBuilder();
+                    configuration.all().stream()
+                            .filter(held -> !held.getDeleted())
+                            .forEach(response::addConfigurations);
+                    return response.build();
+                },
+                control);
+    }
+
+    private CompletableFuture<ApplyServiceResponse> change(ChangeRequest request) {
+        return CompletableFuture.supplyAsync(() -> configuration.change(request), control)
+                .thenCompose(outcome -> outcome)
+                .thenApply(
+                        outcome -> {
+                            log(request, outcome);
+                            return ChangeReplies.responseOf(outcome, request);
+                        });
+    }
+
+    private GetServiceResponse response(String name) {
+        VersionedConfiguration held =
+                name.isEmpty()
+                        ? VersionedConfiguration.getDefaultInstance()
+                        : configuration
+                                .find(new ServiceName(name))
+                                .orElse(VersionedConfiguration.getDefaultInstance());
+        if (held.getVersion() == 0 || held.getDeleted()) {
+            throw Status.NOT_FOUND
+                    .withDescription(
+                            "No service named \""
+                                    + name
+                                    + "\" is in force here; list the services to see their names.")
+                    .asRuntimeException();
+        }
+        return GetServiceResponse.newBuilder().setConfiguration(held).build();
+    }
+
+    private static void log(ChangeRequest request, ChangeOutcome outcome) {
+        logger.atInfo().log(
+                "event=change-ended outcome=%s service=%s expected_version=%d operation_id=%s"
+                        + " operator=%s",
+                outcome.getClass().getSimpleName(),
+                request.service().getName(),
+                request.expectedVersion(),
+                request.operationId(),
+                request.operator());
+    }
+}
