--- a/node/src/main/java/org/damaskmoor/node/NodeProcess.java
+++ b/node/src/main/java/org/damaskmoor/node/NodeProcess.java
@@ -15,7 +15,6 @@
 import org.damaskmoor.core.id.Incarnation;
 import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.core.id.RegionName;
-import org.damaskmoor.core.id.ServiceName;
 import org.damaskmoor.core.membership.MembershipProtocol;
 import org.damaskmoor.core.routing.RoutingOptions;
 import org.damaskmoor.mesh.ChannelCustomizer;
@@ -43,12 +42,8 @@
 import org.damaskmoor.node.internal.mesh.SelfLink;
 import org.damaskmoor.node.internal.metrics.MetricsText;
 import org.damaskmoor.node.internal.metrics.NodeMetrics;
-import org.damaskmoor.node.internal.operator.DrainCall;
-import org.damaskmoor.node.internal.operator.ExplainCall;
+import org.damaskmoor.node.internal.operator.OperatorParts;
 import org.damaskmoor.node.internal.operator.OperatorServer;
-import org.damaskmoor.node.internal.operator.OperatorService;
-import org.damaskmoor.node.internal.operator.ServiceCalls;
-import org.damaskmoor.node.internal.operator.StatusCall;
 import org.damaskmoor.node.internal.security.NodeSecurity;
 import org.damaskmoor.node.internal.target.ClaimService.Claim;
 import org.damaskmoor.node.internal.target.TargetDuty;
@@ -85,7 +80,6 @@
     private static final Duration SILENCE_TIMEOUT = Duration.ofSeconds(1);
     private static final long LEAVE_NOTICE_MILLISECONDS = 1_000;
     private static final long IDLE_CHECK_MILLISECONDS = 20;
-    private static final String PROBED_SERVICE = "status-probe";
 
     private final NodeSettings settings;
     private final Optional<NodeSecurity> security;
@@ -267,22 +261,20 @@
     }
 
     private OperatorServer operatorServer(ServiceTable table) {
-        OperatorService service =
-                new OperatorService(
-                        new ServiceCalls(
-                                controlLoop::execute, configuration, System::currentTimeMillis),
-                        new StatusCall(
-                                controlLoop::execute,
-                                membership.protocol(),
-                                configuration,
-                                target::lastLoad,
-                                () -> table.read(new ServiceName(PROBED_SERVICE))),
-                        new DrainCall(self, members, target::drain),
-                        new ExplainCall(entry::explain));
+        OperatorParts parts =
+                new OperatorParts(
+                        self,
+                        controlLoop::execute,
+                        configuration,
+                        membership.protocol(),
+                        members,
+                        entry,
+                        target,
+                        table);
         return new OperatorServer(
                 new InetSocketAddress(settings.getOperatorAddress(), settings.getOperatorPort()),
                 security.map(NodeSecurity::operators),
-                service);
+                parts.service());
     }
 
     private FrameReceivers receivers() {
