--- a/core/src/main/java/org/damaskmoor/core/settings/TlsFiles.java
+++ b/core/src/main/java/org/damaskmoor/core/settings/TlsFiles.java
@@ -65,8 +65,7 @@
                             flag,
                             "",
                             "the name of a PEM file; TLS needs all of "
-                                    + String.join(
-                                            ", ", CERTIFICATE_FLAG, KEY_FLAG, AUTHORITY_FLAG)
+                                    + String.join(", ", CERTIFICATE_FLAG, KEY_FLAG, AUTHORITY_FLAG)
                                     + ", or none"));
         }
     }
--- a/node/src/main/java/org/damaskmoor/node/internal/operator/ExplainCall.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/operator/ExplainCall.java
@@ -103,7 +103,8 @@
             RequestExplanation explained, List<CandidateWeight> candidates, String caller) {
         if (!explained.allowed()) {
             return "Refused as not-allowed: the rule lets in "
-                    + String.join(", ", explained.rule().allowedCallers().stream().sorted().toList())
+                    + String.join(
+                            ", ", explained.rule().allowedCallers().stream().sorted().toList())
                     + ", not "
                     + caller
                     + ".";
--- a/node/src/main/java/org/damaskmoor/node/internal/security/NodeSecurity.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/security/NodeSecurity.java
@@ -43,8 +43,7 @@
                             .trustManager(files.authority())
                             .build();
             SslContext operators = GrpcSslContexts.configure(server(files)).build();
-            return new NodeSecurity(
-                    new MeshSecurity(server(files).build(), client), operators);
+            return new NodeSecurity(new MeshSecurity(server(files).build(), client), operators);
         } catch (IllegalArgumentException | SSLException unusable) {
             throw files.unusable(unusable);
         }
--- /dev/null
+++ b/operator/src/main/java/org/damaskmoor/operator/OperatorClient.java
@@ -0,0 +1,175 @@
+package org.damaskmoor.operator;
+
+import io.grpc.ManagedChannel;
+import io.grpc.Status;
+import io.grpc.StatusRuntimeException;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.damaskmoor.core.settings.SettingsException;
+import org.damaskmoor.operator.internal.call.Channels;
+import org.damaskmoor.operator.internal.call.FailureReader;
+import org.damaskmoor.schema.configuration.ServiceConfiguration;
+import org.damaskmoor.schema.configuration.VersionedConfiguration;
+import org.damaskmoor.schema.operator.ApplyServiceRequest;
+import org.damaskmoor.schema.operator.ApplyServiceResponse;
+import org.damaskmoor.schema.operator.DeleteServiceRequest;
+import org.damaskmoor.schema.operator.DrainNodeRequest;
+import org.damaskmoor.schema.operator.DrainNodeResponse;
+import org.damaskmoor.schema.operator.ExplainRequest;
+import org.damaskmoor.schema.operator.ExplainResponse;
+import org.damaskmoor.schema.operator.GetServiceRequest;
+import org.damaskmoor.schema.operator.GetStatusRequest;
+import org.damaskmoor.schema.operator.GetStatusResponse;
+import org.damaskmoor.schema.operator.ListServicesRequest;
+import org.damaskmoor.schema.operator.ListServicesResponse;
+import org.damaskmoor.schema.operator.OperatorServiceGrpc;
+import org.damaskmoor.schema.operator.OperatorServiceGrpc.OperatorServiceBlockingStub;
+import org.damaskmoor.schema.settings.OperatorSettings;
+
+/**
+ * Calls the operator port of one node and waits for the answers.
+ *
+ * <pre>{@code
+ * try (OperatorClient client = OperatorClient.open(settings)) {
+ *     client.apply(service, client.versionInForce(service.getName()), operationId);
+ * }
+ * }</pre>
+ *
+ * <p>Thread-safe. Every call ends within the timeout of the settings and fails with an {@link
+ * OperatorException}.
+ */
+public final class OperatorClient implements AutoCloseable {
+    private final OperatorSettings settings;
+    private final ManagedChannel channel;
+
+    private OperatorClient(OperatorSettings settings, ManagedChannel channel) {
+        this.settings = settings;
+        this.channel = channel;
+    }
+
+    /**
+     * Opens a client; the connection is made with the first call.
+     *
+     * @throws SettingsException when the files for TLS are set by half or cannot be used
+     */
+    public static OperatorClient open(OperatorSettings settings) throws SettingsException {
+        return new OperatorClient(settings, Channels.open(settings));
+    }
+
+    /**
+     * Creates or changes a service.
+     *
+     * @param expectedVersion the version that is to be replaced; 0: there must be no such service
+     * @param operationId the same id again is the same change
+     */
+    public ApplyServiceResponse apply(
+            ServiceConfiguration service, long expectedVersion, String operationId)
+            throws OperatorException {
+        ApplyServiceRequest request =
+                ApplyServiceRequest.newBuilder()
+                        .setService(service)
+                        .setExpectedVersion(expectedVersion)
+                        .setOperationId(operationId)
+                        .setOperator(changedBy())
+                        .build();
+        return change("apply", operationId, stub -> stub.applyService(request));
+    }
+
+    /**
+     * Deletes a service.
+     *
+     * @param expectedVersion the version that is to be deleted
+     * @param operationId the same id again is the same change
+     */
+    public ApplyServiceResponse delete(String name, long expectedVersion, String operationId)
+            throws OperatorException {
+        DeleteServiceRequest request =
+                DeleteServiceRequest.newBuilder()
+                        .setName(name)
+                        .setExpectedVersion(expectedVersion)
+                        .setOperationId(operationId)
+                        .setOperator(changedBy())
+                        .build();
+        return change("delete", operationId, stub -> stub.deleteService(request));
+    }
+
+    /** The configuration of a service that the node holds; empty when there is none. */
+    public Optional<VersionedConfiguration> find(String name) throws OperatorException {
+        GetServiceRequest request = GetServiceRequest.newBuilder().setName(name).build();
+        try {
+            return Optional.of(stub().getService(request).getConfiguration());
+        } catch (StatusRuntimeException failure) {
+            if (failure.getStatus().getCode() == Status.Code.NOT_FOUND) {
+                return Optional.empty();
+            }
+            throw reader("show").read(failure);
+        }
+    }
+
+    /** The version of a service that the node holds; 0 when there is none. */
+    public long versionInForce(String name) throws OperatorException {
+        return find(name).map(VersionedConfiguration::getVersion).orElse(0L);
+    }
+
+    /** All services that the node holds. */
+    public ListServicesResponse list() throws OperatorException {
+        return ask("list", stub -> stub.listServices(ListServicesRequest.getDefaultInstance()));
+    }
+
+    /** How the node sees all nodes. */
+    public GetStatusResponse status() throws OperatorException {
+        return ask("status", stub -> stub.getStatus(GetStatusRequest.getDefaultInstance()));
+    }
+
+    /** Starts to drain the node, which must be the one that is called. */
+    public DrainNodeResponse drain(String node) throws OperatorException {
+        DrainNodeRequest request = DrainNodeRequest.newBuilder().setNodeId(node).build();
+        return ask("drain", stub -> stub.drainNode(request));
+    }
+
+    /** Why a request would go where it goes. */
+    public ExplainResponse explain(ExplainRequest request) throws OperatorException {
+        return ask("explain", stub -> stub.explain(request));
+    }
+
+    /** Closes the connection. */
+    @Override
+    public void close() {
+        channel.shutdownNow();
+    }
+
+    private <T> T ask(String step, Function<OperatorServiceBlockingStub, T> call)
+            throws OperatorException {
+        try {
+            return call.apply(stub());
+        } catch (StatusRuntimeException failure) {
+            throw reader(step).read(failure);
+        }
+    }
+
+    private <T> T change(
+            String step, String operationId, Function<OperatorServiceBlockingStub, T> call)
+            throws OperatorException {
+        try {
+            return call.apply(stub());
+        } catch (StatusRuntimeException failure) {
+            throw reader(step).readChange(failure, operationId);
+        }
+    }
+
+    private FailureReader reader(String step) {
+        return new FailureReader(step, settings.getNode());
+    }
+
+    private OperatorServiceBlockingStub stub() {
+        return OperatorServiceGrpc.newBlockingStub(channel)
+                .withDeadlineAfter(settings.getTimeoutMilliseconds(), TimeUnit.MILLISECONDS);
+    }
+
+    private String changedBy() {
+        return settings.getChangedBy().isEmpty()
+                ? System.getProperty("user.name")
+                : settings.getChangedBy();
+    }
+}
--- /dev/null
+++ b/operator/src/main/java/org/damaskmoor/operator/internal/command/HelpFlag.java
@@ -0,0 +1,33 @@
+package org.damaskmoor.operator.internal.command;
+
+import com.github.rvesse.airline.annotations.AirlineModule;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.help.Help;
+import com.github.rvesse.airline.model.CommandMetadata;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+
+/** The flag by which a command shows its own help. Confined to one thread. */
+public final class HelpFlag {
+    @AirlineModule private CommandMetadata command;
+
+    @Option(
+            name = {"-h", "--help"},
+            description = "Shows what the command does, its flags, examples and exit codes.")
+    private boolean asked;
+
+    /** Whether help was asked for. */
+    public boolean asked() {
+        return asked;
+    }
+
+    /** Shows the help of the command. */
+    public void show(PrintStream output) {
+        try {
+            Help.help(command, output);
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+}
--- /dev/null
+++ b/operator/src/main/java/org/damaskmoor/operator/internal/command/NodeCallCommand.java
@@ -0,0 +1,79 @@
+package org.damaskmoor.operator.internal.command;
+
+import com.github.rvesse.airline.annotations.AirlineModule;
+import com.github.rvesse.airline.annotations.help.ExitCodes;
+import com.github.rvesse.airline.annotations.help.ProseSection;
+import java.util.List;
+import org.damaskmoor.core.settings.SettingFault;
+import org.damaskmoor.core.settings.SettingsException;
+import org.damaskmoor.core.settings.SettingsReader;
+import org.damaskmoor.operator.ExitCode;
+import org.damaskmoor.operator.OperatorClient;
+import org.damaskmoor.operator.OperatorException;
+import org.damaskmoor.operator.internal.output.Output;
+import org.damaskmoor.schema.settings.OperatorSettings;
+import org.damaskmoor.schema.settings.OperatorSettingsOptions;
+
+/** A command that calls the operator port of a node. Confined to one thread. */
+@ExitCodes(
+        codes = {0, 1, 2, 3, 4, 5, 6},
+        descriptions = {
+            "Done.",
+            "Failed; nothing was changed by this call.",
+            "A flag, an argument or an environment variable has a bad value; each is named.",
+            "Conflict: another change came first.",
+            "The configuration has faults; each is named with the path of its field.",
+            "The change was certainly not accepted.",
+            "It is unknown whether the change was accepted: repeat it with the same operation id."
+        })
+@ProseSection(
+        title = "Environment",
+        suggestedOrder = 50,
+        paragraphs = {
+            "A flag goes before its environment variable, which goes before the default:"
+                    + " DAMASKMOOR_OPERATOR_NODE, DAMASKMOOR_OPERATOR_OUTPUT,"
+                    + " DAMASKMOOR_OPERATOR_TIMEOUT_MILLISECONDS, DAMASKMOOR_OPERATOR_CHANGED_BY,"
+                    + " DAMASKMOOR_OPERATOR_TLS_CERTIFICATE_FILE,"
+                    + " DAMASKMOOR_OPERATOR_TLS_KEY_FILE and"
+                    + " DAMASKMOOR_OPERATOR_TLS_AUTHORITY_FILE."
+        })
+abstract class NodeCallCommand extends OperatorSettingsOptions implements OperatorCommand {
+    @AirlineModule private HelpFlag help;
+
+    @Override
+    public final HelpFlag help() {
+        return help;
+    }
+
+    @Override
+    public final ExitCode run(Session session) throws SettingsException, OperatorException {
+        OperatorSettings settings =
+                SettingsReader.read(
+                        OperatorSettings.getDefaultInstance(), given(), session.environment());
+        checkArguments();
+        Output output = new Output(session.output(), settings.getOutput().equals("json"));
+        try (OperatorClient client = OperatorClient.open(settings)) {
+            return call(client, session, output);
+        }
+    }
+
+    /** Checks what the settings' schema does not know. */
+    void checkArguments() throws SettingsException {}
+
+    /** Calls the node and prints what it says. */
+    abstract ExitCode call(OperatorClient client, Session session, Output output)
+            throws SettingsException, OperatorException;
+
+    /** A single fault of a flag or argument. */
+    static SettingsException fault(String flag, String value, String allowed) {
+        return new SettingsException(List.of(new SettingFault(flag, value, allowed)));
+    }
+
+    /** The value of a flag or argument that must be there. */
+    static String require(String flag, String value, String allowed) throws SettingsException {
+        if (value == null || value.isEmpty()) {
+            throw fault(flag, "", allowed);
+        }
+        return value;
+    }
+}
--- /dev/null
+++ b/operator/src/main/java/org/damaskmoor/operator/internal/command/StatusCommand.java
@@ -0,0 +1,23 @@
+package org.damaskmoor.operator.internal.command;
+
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.help.Examples;
+import org.damaskmoor.operator.ExitCode;
+import org.damaskmoor.operator.OperatorClient;
+import org.damaskmoor.operator.OperatorException;
+import org.damaskmoor.operator.internal.output.Output;
+
+/** Shows all nodes and who is behind. Confined to one thread. */
+@Command(
+        name = "status",
+        description = "Shows all nodes as the asked one sees them, and who is behind.")
+@Examples(
+        examples = "damaskmoor-operator status --output json",
+        descriptions = "Prints the GetStatusResponse of the schema, for tooling.")
+public final class StatusCommand extends NodeCallCommand {
+    @Override
+    ExitCode call(OperatorClient client, Session session, Output output) throws OperatorException {
+        output.status(client.status());
+        return ExitCode.SUCCESS;
+    }
+}
