--- a/node/src/main/java/org/damaskmoor/node/internal/operator/ServiceCalls.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/operator/ServiceCalls.java
@@ -82,8 +82,8 @@
     }
 
     private CompletableFuture<ApplyServiceResponse> change(ChangeRequest request) {
-        return CompletableFuture.supplyAsync(() -> configuration.change(request), control)
-                .thenCompose(outcome -> outcome)
+        return CompletableFuture.completedFuture(request)
+                .thenComposeAsync(configuration::change, control)
                 .thenApply(
                         outcome -> {
                             log(request, outcome);
--- a/operator/src/main/java/org/damaskmoor/operator/internal/command/CompletionCommand.java
+++ b/operator/src/main/java/org/damaskmoor/operator/internal/command/CompletionCommand.java
@@ -17,7 +17,7 @@
 public final class CompletionCommand implements OperatorCommand {
     private static final String BASH = "bash";
 
-    @AirlineModule private HelpFlag help;
+    @AirlineModule private HelpFlag help = new HelpFlag();
     @AirlineModule private GlobalMetadata<OperatorCommand> program;
 
     @Arguments(title = "shell", description = "The shell: bash. Default: bash.")
--- a/operator/src/main/java/org/damaskmoor/operator/internal/command/HelpCommand.java
+++ b/operator/src/main/java/org/damaskmoor/operator/internal/command/HelpCommand.java
@@ -22,7 +22,7 @@
         examples = "damaskmoor-operator help service apply",
         descriptions = "Shows the flags, examples and exit codes of one command.")
 public final class HelpCommand implements OperatorCommand {
-    @AirlineModule private HelpFlag help;
+    @AirlineModule private HelpFlag help = new HelpFlag();
     @AirlineModule private GlobalMetadata<OperatorCommand> program;
 
     @Arguments(title = "command", description = "The command to show.")
--- a/operator/src/main/java/org/damaskmoor/operator/internal/command/NodeCallCommand.java
+++ b/operator/src/main/java/org/damaskmoor/operator/internal/command/NodeCallCommand.java
@@ -38,7 +38,7 @@
                     + " DAMASKMOOR_OPERATOR_TLS_AUTHORITY_FILE."
         })
 abstract class NodeCallCommand extends OperatorSettingsOptions implements OperatorCommand {
-    @AirlineModule private HelpFlag help;
+    @AirlineModule private HelpFlag help = new HelpFlag();
 
     @Override
     public final HelpFlag help() {
--- a/operator/src/main/java/org/damaskmoor/operator/internal/command/ServiceApplyCommand.java
+++ b/operator/src/main/java/org/damaskmoor/operator/internal/command/ServiceApplyCommand.java
@@ -32,7 +32,7 @@
             description = "The service as JSON (ServiceConfiguration); - reads standard input.")
     private String file;
 
-    @AirlineModule private ChangeFlags change;
+    @AirlineModule private ChangeFlags change = new ChangeFlags();
 
     @Override
     void checkArguments() throws SettingsException {
--- a/operator/src/main/java/org/damaskmoor/operator/internal/command/ServiceDeleteCommand.java
+++ b/operator/src/main/java/org/damaskmoor/operator/internal/command/ServiceDeleteCommand.java
@@ -25,7 +25,7 @@
     @Arguments(title = "service", description = "Name of the service.")
     private String name;
 
-    @AirlineModule private ChangeFlags change;
+    @AirlineModule private ChangeFlags change = new ChangeFlags();
 
     @Override
     void checkArguments() throws SettingsException {
