--- a/bench/src/main/java/org/damaskmoor/bench/demo/Demo.java
+++ b/bench/src/main/java/org/damaskmoor/bench/demo/Demo.java
@@ -79,13 +79,13 @@
         site.startStandIns();
         site.awaitStandIns(START_TIMEOUT_MILLISECONDS);
         progress.step("stand-ins run: platform and " + site.places().size() + " upstreams");
-        for (Service service : deployment.services()) {
-            applier.apply(service.configuration());
-        }
-        progress.step("services applied: " + deployment.services().size());
         site.startNodes();
         site.awaitNodes(START_TIMEOUT_MILLISECONDS);
         progress.step("nodes are ready: " + site.places().size());
+        for (Service service : deployment.services()) {
+            applier.apply(service.configuration());
+        }
+        progress.step("services in force on all nodes: " + deployment.services().size());
     }
 
     private List<CallRecord> load(List<PlannedCall> schedule) throws InterruptedException {
--- a/bench/src/main/java/org/damaskmoor/bench/demo/DemoCommand.java
+++ b/bench/src/main/java/org/damaskmoor/bench/demo/DemoCommand.java
@@ -51,7 +51,8 @@
                 site,
                 children,
                 client,
-                new TableServiceApplier(client, site.platformUrl()),
+                new OperatorServiceApplier(
+                        site.places().stream().map(Place::operatorPort).toList()),
                 new StoredRefusals(client),
                 MeasuringBytes.NOT_MEASURED,
                 progress);
--- a/bench/src/main/java/org/damaskmoor/bench/demo/ServiceApplier.java
+++ b/bench/src/main/java/org/damaskmoor/bench/demo/ServiceApplier.java
@@ -6,6 +6,6 @@
 /** Puts a service's configuration in force. */
 @FunctionalInterface
 interface ServiceApplier {
-    /** Returns once the configuration was accepted. */
+    /** Returns once the configuration is in force on every node. */
     void apply(ServiceConfiguration service) throws IOException;
 }
