--- a/operator/src/main/java/org/damaskmoor/operator/internal/command/ChangeFlags.java
+++ b/operator/src/main/java/org/damaskmoor/operator/internal/command/ChangeFlags.java
@@ -3,6 +3,7 @@
 import com.github.rvesse.airline.annotations.Option;
 import java.util.UUID;
 import org.damaskmoor.core.settings.SettingsException;
+import org.damaskmoor.operator.ExitCode;
 import org.damaskmoor.operator.OperatorClient;
 import org.damaskmoor.operator.OperatorException;
 
@@ -46,7 +47,7 @@
         if (expectedVersion != null) {
             return Long.parseLong(expectedVersion);
         }
-        long inForce = client.versionInForce(service);
+        long inForce = ask(client, service);
         session.notes()
                 .println(
                         inForce == 0
@@ -54,4 +55,17 @@
                                 : "expected version: " + inForce + ", which the node holds");
         return inForce;
     }
+
+    /** A change that was never sent was certainly not accepted. */
+    private static long ask(OperatorClient client, String service) throws OperatorException {
+        try {
+            return client.versionInForce(service);
+        } catch (OperatorException failure) {
+            throw new OperatorException(
+                    ExitCode.NOT_ACCEPTED,
+                    "The change was not sent: " + failure.getMessage(),
+                    failure.reason(),
+                    failure.advice());
+        }
+    }
 }
