--- a/operator/src/main/java/org/damaskmoor/operator/OperatorClient.java
+++ b/operator/src/main/java/org/damaskmoor/operator/OperatorClient.java
@@ -73,7 +73,10 @@
                         .setOperationId(operationId)
                         .setOperator(changedBy())
                         .build();
-        return change("apply", operationId, stub -> stub.applyService(request));
+        return change(
+                "apply",
+                repetition(operationId, expectedVersion),
+                stub -> stub.applyService(request));
     }
 
     /**
@@ -91,7 +94,10 @@
                         .setOperationId(operationId)
                         .setOperator(changedBy())
                         .build();
-        return change("delete", operationId, stub -> stub.deleteService(request));
+        return change(
+                "delete",
+                repetition(operationId, expectedVersion),
+                stub -> stub.deleteService(request));
     }
 
     /** The configuration of a service that the node holds; empty when there is none. */
@@ -149,15 +155,20 @@
     }
 
     private <T> T change(
-            String step, String operationId, Function<OperatorServiceBlockingStub, T> call)
+            String step, String repetition, Function<OperatorServiceBlockingStub, T> call)
             throws OperatorException {
         try {
             return call.apply(stub());
         } catch (StatusRuntimeException failure) {
-            throw reader(step).readChange(failure, operationId);
+            throw reader(step).readChange(failure, repetition);
         }
     }
 
+    /** Names the expected version too, so that a repetition replaces nothing unseen. */
+    private static String repetition(String operationId, long expectedVersion) {
+        return "--operation-id " + operationId + " --expected-version " + expectedVersion;
+    }
+
     private FailureReader reader(String step) {
         return new FailureReader(step, settings.getNode());
     }
--- a/operator/src/main/java/org/damaskmoor/operator/internal/call/FailureReader.java
+++ b/operator/src/main/java/org/damaskmoor/operator/internal/call/FailureReader.java
@@ -43,8 +43,12 @@
         return failed(failure, "Check that the node runs and that --node names its operator port.");
     }
 
-    /** What the failure of a change means. */
-    public OperatorException readChange(StatusRuntimeException failure, String operationId) {
+    /**
+     * What the failure of a change means.
+     *
+     * @param repetition the flags by which the same change is made again
+     */
+    public OperatorException readChange(StatusRuntimeException failure, String repetition) {
         Metadata trailers = failure.getTrailers();
         Metadata present = trailers == null ? new Metadata() : trailers;
         Conflict conflict = present.get(OperatorTrailers.CONFLICT);
@@ -57,12 +61,12 @@
         }
         String outcome = present.get(OperatorTrailers.OUTCOME);
         if (OperatorTrailers.NOT_ACCEPTED.equals(outcome) || neverSent(failure)) {
-            return notAccepted(failure, operationId);
+            return notAccepted(failure, repetition);
         }
         if (refusedByTheTransport(failure)) {
             return failed(failure, "Check that the client's and the node's versions fit.");
         }
-        return unknown(failure, operationId);
+        return unknown(failure, repetition);
     }
 
     private OperatorException conflict(StatusRuntimeException failure, Conflict conflict) {
@@ -98,23 +102,21 @@
                 "Mend them and apply again; nothing was changed.");
     }
 
-    private OperatorException notAccepted(StatusRuntimeException failure, String operationId) {
+    private OperatorException notAccepted(StatusRuntimeException failure, String repetition) {
         return new OperatorException(
                 ExitCode.NOT_ACCEPTED,
                 "The change was not accepted by " + node + ".",
                 description(failure),
-                "Try again, at another node if this one is down, with --operation-id "
-                        + operationId
-                        + ".");
+                "Try again with " + repetition + ", at another node if this one is down.");
     }
 
-    private OperatorException unknown(StatusRuntimeException failure, String operationId) {
+    private OperatorException unknown(StatusRuntimeException failure, String repetition) {
         return new OperatorException(
                 ExitCode.OUTCOME_UNKNOWN,
                 "It is unknown whether the change was accepted; step " + step + " at " + node + ".",
                 description(failure),
-                "Repeat the same command with --operation-id "
-                        + operationId
+                "Repeat the same command with "
+                        + repetition
                         + ": the change is then made once, whichever way it went.");
     }
 
--- /dev/null
+++ b/operator/src/test/java/org/damaskmoor/operator/FakeNode.java
@@ -0,0 +1,161 @@
+package org.damaskmoor.operator;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.damaskmoor.core.configuration.MatchedRule;
+import org.damaskmoor.core.id.DataCentreName;
+import org.damaskmoor.core.id.Incarnation;
+import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.core.id.RegionName;
+import org.damaskmoor.core.id.ServiceName;
+import org.damaskmoor.core.membership.MembershipProtocol;
+import org.damaskmoor.core.membership.MembershipSettings;
+import org.damaskmoor.core.routing.CandidateWeight;
+import org.damaskmoor.core.routing.Distance;
+import org.damaskmoor.core.routing.Target;
+import org.damaskmoor.core.routing.TargetId;
+import org.damaskmoor.mesh.MeshPeer;
+import org.damaskmoor.mesh.MeshTransport;
+import org.damaskmoor.node.internal.configuration.ConfigurationDuty;
+import org.damaskmoor.node.internal.entry.RequestDescription;
+import org.damaskmoor.node.internal.entry.RequestExplanation;
+import org.damaskmoor.node.internal.members.MemberDirectory;
+import org.damaskmoor.node.internal.operator.DrainCall;
+import org.damaskmoor.node.internal.operator.ExplainCall;
+import org.damaskmoor.node.internal.operator.OperatorServer;
+import org.damaskmoor.node.internal.operator.OperatorService;
+import org.damaskmoor.node.internal.operator.ServiceCalls;
+import org.damaskmoor.node.internal.operator.StatusCall;
+import org.damaskmoor.schema.gossip.GossipMessage;
+import org.damaskmoor.schema.gossip.MemberRecord;
+import org.damaskmoor.schema.gossip.MemberState;
+import org.damaskmoor.schema.gossip.Ping;
+import org.damaskmoor.schema.mesh.LoadReport;
+import org.damaskmoor.schema.mesh.MeshFrame;
+import org.damaskmoor.schema.mesh.UpstreamState;
+
+/** A node's operator port over a fake table and without other nodes. */
+final class FakeNode implements AutoCloseable {
+    static final long CHANGED_AT_EPOCH_MILLISECONDS = 1_700_000_000_000L;
+    private static final RegionName REGION = new RegionName("mittelland");
+    private static final DataCentreName DATA_CENTRE = new DataCentreName("bern-nord");
+
+    final FakeServiceTable table = new FakeServiceTable();
+    private final ExecutorService control = Executors.newSingleThreadExecutor();
+    private final MembershipProtocol membership;
+    private final OperatorServer server;
+    private final String address;
+
+    FakeNode() {
+        MemberDirectory members = new MemberDirectory();
+        ConfigurationDuty configuration =
+                new ConfigurationDuty(
+                        control, members, new NoMesh(), table, version -> {}, matcher -> {});
+        membership =
+                new MembershipProtocol(
+                        record("besuch-1"),
+                        MembershipSettings.defaults(),
+                        (address, message) -> {},
+                        event -> {},
+                        configuration.gossip((peer, versions) -> {}, record -> false),
+                        new SplittableRandom(1),
+                        0);
+        OperatorService service =
+                new OperatorService(
+                        new ServiceCalls(
+                                control, configuration, () -> CHANGED_AT_EPOCH_MILLISECONDS),
+                        new StatusCall(
+                                control,
+                                membership,
+                                configuration,
+                                LoadReport::getDefaultInstance,
+                                () -> table.read(new ServiceName("probe"))),
+                        new DrainCall(new NodeId("besuch-1"), members, () -> {}),
+                        new ExplainCall(FakeNode::explain));
+        server =
+                new OperatorServer(
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                        Optional.empty(),
+                        service);
+        server.start().join();
+        address = "127.0.0.1:" + server.port();
+    }
+
+    String address() {
+        return address;
+    }
+
+    /** Hears a member that holds no configuration yet: the first message only introduces it. */
+    void hearNewMember(String node) {
+        GossipMessage message =
+                GossipMessage.newBuilder()
+                        .setSender(node)
+                        .setSenderIncarnation(1)
+                        .setPing(Ping.newBuilder().setTarget("besuch-1"))
+                        .addNews(record(node))
+                        .build();
+        InetSocketAddress from = new InetSocketAddress("127.0.0.1", 1);
+        CompletableFuture.runAsync(
+                        () -> {
+                            membership.receive(message, from, 0);
+                            membership.receive(message, from, 0);
+                        },
+                        control)
+                .join();
+    }
+
+    @Override
+    public void close() {
+        server.stop().join();
+        control.shutdown();
+    }
+
+    private static MemberRecord record(String node) {
+        return MemberRecord.newBuilder()
+                .setNodeId(node)
+                .setIncarnation(1)
+                .setState(MemberState.ALIVE)
+                .setRegion(REGION.value())
+                .setDataCentre(DATA_CENTRE.value())
+                .setAddress("127.0.0.1")
+                .setMeshPort(1)
+                .setGossipPort(1)
+                .build();
+    }
+
+    private static CompletableFuture<Optional<RequestExplanation>> explain(
+            RequestDescription request) {
+        MatchedRule rule =
+                new MatchedRule(
+                        "route", "route", false, false, 1, 1, 0, java.util.Set.of("register"));
+        Target target =
+                new Target(
+                        new TargetId(new NodeId("besuch-1"), new Incarnation(1)),
+                        REGION,
+                        DATA_CENTRE,
+                        UpstreamState.SERVING,
+                        10);
+        CandidateWeight weight =
+                new CandidateWeight(target, Distance.LOCAL, 2_500_000, 1.5, 1, true);
+        return CompletableFuture.completedFuture(
+                Optional.of(
+                        new RequestExplanation(
+                                rule, rule.allows(request.caller()), List.of(weight), false)));
+    }
+
+    /** There are no other nodes to send to. */
+    private static final class NoMesh implements MeshTransport {
+        @Override
+        public void send(MeshPeer peer, MeshFrame frame) {}
+
+        @Override
+        public void sendOverLiveConnection(
+                MeshPeer peer, MeshFrame frame, long aliveAfterNanoseconds) {}
+    }
+}
