Bound what a connection between nodes holds unsent

Cause: an answer was dropped in silence when a connection's buffer was above Netty's 64 KB mark, and calls to a peer that does not read were held without a bound. Found by reading. Change: 4 MB for each connection; past it a call is told as not sent, and an answering connection is closed, so that the entry asks again. Test: NettyMeshTransportTest.should_keep_a_bounded_number_of_bytes... fails before, passes after.

--- a/mesh/src/main/java/org/damaskmoor/mesh/NettyMeshTransport.java
+++ b/mesh/src/main/java/org/damaskmoor/mesh/NettyMeshTransport.java
@@ -77,6 +77,8 @@
                         .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(
+                                ChannelOption.WRITE_BUFFER_WATER_MARK, LinkInitializer.UNSENT_BYTES)
                         .childHandler(initializer.forAccepted())
                         .bind(settings.listenAddress());
         bound.addListener(
--- a/mesh/src/main/java/org/damaskmoor/mesh/internal/LinkHandler.java
+++ b/mesh/src/main/java/org/damaskmoor/mesh/internal/LinkHandler.java
@@ -90,10 +90,21 @@
         return incarnation;
     }
 
+    /**
+     * {@inheritDoc}
+     *
+     * <p>A connection whose peer reads too slowly is closed rather than that an answer on it is
+     * dropped in silence: the peer then asks again over another one.
+     */
     @Override
     public boolean send(MeshFrame frame) {
         Channel open = channel;
-        if (open == null || !open.isActive() || !open.isWritable()) {
+        if (open == null || !open.isActive()) {
+            return false;
+        }
+        if (!open.isWritable()) {
+            logger.atWarning().log("event=link-overrun step=WRITE peer=%s", peer);
+            open.close();
             return false;
         }
         open.writeAndFlush(frame);
--- a/mesh/src/main/java/org/damaskmoor/mesh/internal/LinkInitializer.java
+++ b/mesh/src/main/java/org/damaskmoor/mesh/internal/LinkInitializer.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
@@ -23,6 +24,10 @@
  * <p>Immutable and thread-safe.
  */
 public final class LinkInitializer {
+    /** Bounds on what one connection holds unsent: it takes no more above the second one. */
+    public static final WriteBufferWaterMark UNSENT_BYTES =
+            new WriteBufferWaterMark(1024 * 1024, 4 * 1024 * 1024);
+
     private static final int LENGTH_FIELD_BYTES = 4;
 
     private final MeshSettings settings;
--- a/mesh/src/main/java/org/damaskmoor/mesh/internal/PeerLinks.java
+++ b/mesh/src/main/java/org/damaskmoor/mesh/internal/PeerLinks.java
@@ -56,7 +56,7 @@
     /** Writes the frame, or keeps it until the connection being opened is ready. */
     public void send(InetSocketAddress address, MeshFrame frame, long aliveAfterNanoseconds) {
         if (opening == null && isUsable(aliveAfterNanoseconds)) {
-            write(current, frame);
+            writeToCurrent(frame);
             return;
         }
         if (waiting.size() >= settings.ringMessages()) {
@@ -96,6 +96,7 @@
                         .group(loop)
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.WRITE_BUFFER_WATER_MARK, LinkInitializer.UNSENT_BYTES)
                         .option(
                                 ChannelOption.CONNECT_TIMEOUT_MILLIS,
                                 (int) settings.connectTimeout().toMillis())
@@ -113,7 +114,7 @@
         }
         replaceCurrent(future.channel());
         for (MeshFrame frame = waiting.poll(); frame != null; frame = waiting.poll()) {
-            write(current, frame);
+            writeToCurrent(frame);
         }
         flush();
     }
@@ -133,9 +134,13 @@
         }
     }
 
-    private void write(Channel channel, MeshFrame frame) {
+    private void writeToCurrent(MeshFrame frame) {
+        if (!current.isWritable()) {
+            unsent(frame, Step.ENQUEUE, "the peer reads too slowly", null);
+            return;
+        }
         unflushed = true;
-        channel.write(frame).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+        current.write(frame).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
     }
 
     private void onGone(Channel channel, Throwable cause) {
--- a/mesh/src/test/java/org/damaskmoor/mesh/NettyMeshTransportTest.java
+++ b/mesh/src/test/java/org/damaskmoor/mesh/NettyMeshTransportTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.protobuf.ByteString;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -12,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import org.damaskmoor.core.id.Incarnation;
 import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.schema.mesh.Call;
 import org.damaskmoor.schema.mesh.CancelCall;
 import org.damaskmoor.schema.mesh.MeshFrame;
 import org.junit.jupiter.api.AfterEach;
@@ -20,6 +22,7 @@
 
 class NettyMeshTransportTest {
     private static final int FRAMES = 100;
+    private static final int LARGE_BODY_BYTES = 900_000;
     private static final long WAIT_SECONDS = 5;
 
     private final Recorder received = new Recorder();
@@ -84,6 +87,32 @@
         assertThat(sender.lost.poll(WAIT_SECONDS, TimeUnit.SECONDS)).isEqualTo(replaced.nodeId());
     }
 
+    @Test
+    void should_keep_a_bounded_number_of_bytes_when_the_peer_does_not_read() throws Exception {
+        // given
+        MeshFrame large = largeFrame();
+        try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            MeshPeer slow =
+                    new MeshPeer(
+                            new NodeId("slow"),
+                            new InetSocketAddress(
+                                    InetAddress.getLoopbackAddress(), silent.getLocalPort()));
+
+            // when
+            for (int i = 0; i < FRAMES; i++) {
+                from.send(slow, large);
+            }
+
+            // then
+            assertThat(sender.unsent.poll(WAIT_SECONDS, TimeUnit.SECONDS)).isEqualTo(large);
+        }
+    }
+
+    private static MeshFrame largeFrame() {
+        ByteString body = ByteString.copyFrom(new byte[LARGE_BODY_BYTES]);
+        return MeshFrame.newBuilder().setCall(Call.newBuilder().setBody(body)).build();
+    }
+
     private static MeshFrame frame(int attempt) {
         return MeshFrame.newBuilder()
                 .setCancel(CancelCall.newBuilder().setAttempt(attempt))
