Test when refusals are answered, the full ring, and a peer's death

In-process with one manual loop and clock: a refusal is answered only after its peer stored it or its gap is noted; a full ring answers at once and counts a gap; what a dead or restarted peer left is flushed; the paid link is used only by a region of one data centre.

--- /dev/null
+++ b/node/src/test/java/org/damaskmoor/node/internal/accounting/AccountingDutyTest.java
@@ -0,0 +1,237 @@
+package org.damaskmoor.node.internal.accounting;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.damaskmoor.core.accounting.RefusalReconciler;
+import org.damaskmoor.core.accounting.RefusalSummary;
+import org.damaskmoor.core.id.CallerName;
+import org.damaskmoor.core.id.DataCentreName;
+import org.damaskmoor.core.id.Incarnation;
+import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.core.id.RegionName;
+import org.damaskmoor.core.id.ServiceName;
+import org.damaskmoor.mesh.MeshLink;
+import org.damaskmoor.node.internal.duty.ManualLoop;
+import org.damaskmoor.node.internal.entry.Refusal;
+import org.damaskmoor.node.internal.members.MemberDirectory;
+import org.damaskmoor.schema.accounting.RefusalObject;
+import org.damaskmoor.schema.gossip.MemberRecord;
+import org.damaskmoor.schema.gossip.MemberState;
+import org.damaskmoor.schema.mesh.MeshFrame;
+import org.damaskmoor.schema.mesh.RefusalBatch;
+import org.damaskmoor.schema.mesh.RefusalBatchStored;
+import org.damaskmoor.schema.mesh.RefusalReason;
+import org.junit.jupiter.api.Test;
+
+class AccountingDutyTest {
+    private static final NodeId SELF = new NodeId("owner");
+    private static final Incarnation INCARNATION = new Incarnation(7);
+    private static final MemberRecord PEER = member("peer", "west", "west-2");
+    private static final int RING_REFUSALS = 16_384;
+    private static final long LONGEST_MILLISECONDS = 3_600_000;
+
+    private final ManualLoop loop = new ManualLoop();
+    private final MemberDirectory members = new MemberDirectory();
+    private final AccountingPeers peers =
+            new AccountingPeers(members, new DataCentreName("west-1"), new RegionName("west"));
+    private final List<RefusalBatch> sent = new ArrayList<>();
+    private final List<MeshFrame> replies = new ArrayList<>();
+    private final List<String> answered = new ArrayList<>();
+    private final MemoryObjectStore store = new MemoryObjectStore();
+    private final AccountingDuty accounting = new AccountingDuty(SELF, INCARNATION, parts());
+
+    private AccountingParts parts() {
+        return new AccountingParts(
+                loop::nanoseconds,
+                () -> TimeUnit.NANOSECONDS.toMillis(loop.nanoseconds()),
+                loop,
+                loop,
+                loop.timers(),
+                peers,
+                (peer, batch) -> sent.add(batch),
+                store,
+                TimeUnit.MINUTES.toNanos(1),
+                new SplittableRandom(1));
+    }
+
+    @Test
+    void should_answer_with_its_id_only_when_the_peer_stored_the_refusal() {
+        // given
+        start(PEER);
+        refuse();
+        loop.advance(3);
+        assertThat(sent).hasSize(1);
+        assertThat(answered).isEmpty();
+
+        // when
+        accounting.onFrame(link("peer"), stored(sent.get(0)));
+        loop.run();
+
+        // then
+        assertThat(answered).containsExactly("owner/7/1");
+        assertThat(flushed().gaps()).isEmpty();
+    }
+
+    @Test
+    void should_answer_and_record_a_gap_when_no_peer_stores_the_refusal() {
+        // given
+        start(PEER);
+        refuse();
+
+        // when
+        loop.advance(1_000);
+
+        // then
+        assertThat(answered).containsExactly("owner/7/1");
+        RefusalSummary summary = flushed();
+        assertThat(summary.total()).isEqualTo(1);
+        assertThat(summary.gaps().get(0).count()).isEqualTo(1);
+    }
+
+    @Test
+    void should_answer_at_once_and_count_a_gap_when_the_ring_is_full() {
+        // given
+        start(PEER);
+        for (int i = 0; i < RING_REFUSALS; i++) {
+            refuse();
+        }
+        assertThat(answered).isEmpty();
+
+        // when
+        refuse();
+
+        // then
+        assertThat(answered).containsExactly("owner/7/" + (RING_REFUSALS + 1));
+        loop.advance(3);
+        sent.forEach(batch -> accounting.onFrame(link("peer"), stored(batch)));
+        loop.run();
+        RefusalSummary summary = flushed();
+        assertThat(summary.total()).isEqualTo(RING_REFUSALS + 1);
+        assertThat(summary.gaps().get(0).count()).isEqualTo(1);
+        assertThat(answered).hasSize(RING_REFUSALS + 1);
+    }
+
+    @Test
+    void should_flush_what_it_keeps_for_a_peer_when_the_peer_dies_or_starts_anew() {
+        for (boolean restarts : new boolean[] {false, true}) {
+            // given
+            start(PEER);
+            accounting.onFrame(link("peer"), batchOfPeer());
+            loop.run();
+            assertThat(replies.get(replies.size() - 1).hasRefusalBatchStored()).isTrue();
+
+            // when
+            if (restarts) {
+                accounting.onPresent(PEER.toBuilder().setIncarnation(2).build());
+            } else {
+                accounting.onGone(PEER);
+            }
+            loop.advance(100);
+
+            // then
+            assertThat(store.total()).isEqualTo(5);
+            store.clear();
+        }
+    }
+
+    @Test
+    void should_use_the_paid_link_only_when_the_region_has_one_data_centre() {
+        // given
+        MemberRecord abroad = member("abroad", "east", "east-1");
+        members.publish(List.of(abroad));
+        assertThat(peers.get()).containsExactly(new NodeId("abroad"));
+
+        // when
+        start(PEER, abroad);
+        assertThat(peers.get()).containsExactly(new NodeId("peer"));
+        members.publish(List.of(abroad));
+
+        // then
+        assertThat(peers.get()).isEmpty();
+    }
+
+    private void start(MemberRecord... present) {
+        members.publish(List.of(present));
+        List.of(present).forEach(accounting::onPresent);
+        accounting.start();
+        loop.run();
+    }
+
+    private void refuse() {
+        accounting.record(
+                new Refusal(
+                        new ServiceName("besuch"),
+                        new CallerName("staff"),
+                        RefusalReason.QUEUE_FULL,
+                        1),
+                answered::add);
+    }
+
+    private RefusalSummary flushed() {
+        CompletableFuture<Void> done = accounting.flush(LONGEST_MILLISECONDS);
+        loop.advance(1_000);
+        assertThat(done.isDone()).isTrue();
+        RefusalReconciler reconciler = new RefusalReconciler(0, 60);
+        store.refusals().forEach(reconciler::add);
+        return reconciler.summarize();
+    }
+
+    private MeshLink link(String peer) {
+        return new MeshLink() {
+            @Override
+            public NodeId peer() {
+                return new NodeId(peer);
+            }
+
+            @Override
+            public Incarnation incarnation() {
+                return new Incarnation(1);
+            }
+
+            @Override
+            public boolean send(MeshFrame frame) {
+                return replies.add(frame);
+            }
+        };
+    }
+
+    private static MeshFrame stored(RefusalBatch batch) {
+        return MeshFrame.newBuilder()
+                .setRefusalBatchStored(
+                        RefusalBatchStored.newBuilder()
+                                .setIncarnation(batch.getIncarnation())
+                                .setSequence(batch.getSequence()))
+                .build();
+    }
+
+    private static MeshFrame batchOfPeer() {
+        RefusalObject counts = MemoryObjectStore.refusals("peer", 5);
+        return MeshFrame.newBuilder()
+                .setRefusalBatch(
+                        RefusalBatch.newBuilder()
+                                .setNodeId("peer")
+                                .setIncarnation(1)
+                                .setSequence(1)
+                                .setGroupFirstSequence(1)
+                                .setFirstSequence(1)
+                                .addAllCounts(counts.getCountsList()))
+                .build();
+    }
+
+    private static MemberRecord member(String node, String region, String dataCentre) {
+        return MemberRecord.newBuilder()
+                .setNodeId(node)
+                .setIncarnation(1)
+                .setState(MemberState.ALIVE)
+                .setRegion(region)
+                .setDataCentre(dataCentre)
+                .setAddress("127.0.0.1")
+                .setMeshPort(1)
+                .build();
+    }
+}
