Test claims: granted, taken, unavailable, lost answer, release, takeover

In-process against a table in memory whose answers and writes can be lost, and against the dispatcher with claims that answer when the test says so.

--- /dev/null
+++ b/node/src/test/java/org/damaskmoor/node/internal/claims/TableClaimsTest.java
@@ -0,0 +1,109 @@
+package org.damaskmoor.node.internal.claims;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.damaskmoor.core.id.Incarnation;
+import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.node.internal.claims.MemoryTables.Fault;
+import org.damaskmoor.node.internal.duty.ManualLoop;
+import org.damaskmoor.node.internal.target.ClaimService.Claim;
+import org.damaskmoor.schema.mesh.Call;
+import org.damaskmoor.schema.mesh.RequestId;
+import org.junit.jupiter.api.Test;
+
+class TableClaimsTest {
+    private final MemoryTables tables = new MemoryTables();
+    private final ManualLoop upstream = new ManualLoop();
+    private final ManualLoop later = new ManualLoop();
+    private final TableClaims first = claims("first");
+    private final TableClaims second = claims("second");
+
+    private TableClaims claims(String node) {
+        return new TableClaims(
+                new NodeId(node), new Incarnation(1), tables, () -> 1_000, upstream, later);
+    }
+
+    @Test
+    void should_take_a_key_for_one_request_until_it_is_released() {
+        // given
+        assertThat(claim(first, call(1, 1))).isEqualTo(Claim.GRANTED);
+        assertThat(claim(second, call(2, 1))).isEqualTo(Claim.TAKEN);
+
+        // when
+        second.release(call(2, 1));
+        assertThat(claim(second, call(3, 1))).isEqualTo(Claim.TAKEN);
+        first.release(call(1, 1));
+
+        // then
+        assertThat(claim(second, call(4, 1))).isEqualTo(Claim.GRANTED);
+    }
+
+    @Test
+    void should_grant_when_the_answer_or_the_write_was_lost_once() {
+        for (Fault fault : Fault.values()) {
+            tables.failNextWrite(fault);
+            Call call = call(1, 1);
+            assertThat(claim(first, call)).isEqualTo(Claim.GRANTED);
+            first.release(call);
+            assertThat(tables.size()).isEqualTo(0);
+        }
+    }
+
+    @Test
+    void should_be_unavailable_when_the_table_does_not_answer_and_release_when_it_does_again() {
+        // given
+        tables.setDown(true);
+        assertThat(claim(first, call(1, 1))).isEqualTo(Claim.UNAVAILABLE);
+        tables.setDown(false);
+        assertThat(claim(first, call(1, 1))).isEqualTo(Claim.GRANTED);
+        tables.setDown(true);
+        first.release(call(1, 1));
+        assertThat(tables.size()).isEqualTo(1);
+
+        // when
+        tables.setDown(false);
+        later.run();
+
+        // then
+        assertThat(tables.size()).isEqualTo(0);
+    }
+
+    @Test
+    void should_keep_a_later_attempts_claim_whatever_the_former_target_does_late() {
+        // given
+        assertThat(claim(first, call(1, 1))).isEqualTo(Claim.GRANTED);
+        assertThat(claim(second, call(1, 2))).isEqualTo(Claim.GRANTED);
+
+        // when
+        first.release(call(1, 1));
+        assertThat(claim(first, call(1, 1))).isEqualTo(Claim.TAKEN);
+
+        // then
+        assertThat(claim(first, call(2, 1))).isEqualTo(Claim.TAKEN);
+    }
+
+    private Claim claim(TableClaims claims, Call call) {
+        List<Claim> results = new ArrayList<>();
+        claims.claim(call, results::add);
+        assertThat(results).isEmpty();
+        upstream.run();
+        assertThat(results).hasSize(1);
+        return results.get(0);
+    }
+
+    private static Call call(long sequence, int attempt) {
+        return Call.newBuilder()
+                .setRequestId(
+                        RequestId.newBuilder()
+                                .setEntryNode("entry")
+                                .setEntryIncarnation(1)
+                                .setSequence(sequence))
+                .setAttempt(attempt)
+                .setService("besuch")
+                .setCaller("staff")
+                .setIdempotencyKey("key-1")
+                .build();
+    }
+}
--- /dev/null
+++ b/node/src/test/java/org/damaskmoor/node/internal/target/TargetDispatcherClaimTest.java
@@ -0,0 +1,183 @@
+package org.damaskmoor.node.internal.target;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.damaskmoor.core.admission.AdmissionController;
+import org.damaskmoor.core.admission.AdmissionOptions;
+import org.damaskmoor.core.id.Incarnation;
+import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.core.id.ServiceName;
+import org.damaskmoor.core.once.LedgerLimits;
+import org.damaskmoor.core.once.TargetLedger;
+import org.damaskmoor.mesh.MeshLink;
+import org.damaskmoor.node.internal.target.ClaimService.Claim;
+import org.damaskmoor.schema.mesh.Call;
+import org.damaskmoor.schema.mesh.MeshFrame;
+import org.damaskmoor.schema.mesh.MeshFrame.BodyCase;
+import org.damaskmoor.schema.mesh.RefusalReason;
+import org.damaskmoor.schema.mesh.RequestId;
+import org.damaskmoor.schema.mesh.SealRequest;
+import org.damaskmoor.schema.mesh.UpstreamState;
+import org.junit.jupiter.api.Test;
+
+class TargetDispatcherClaimTest {
+    private static final long NOW_MILLISECONDS = 1_000_000;
+    private static final int DEADLINE_MILLISECONDS = 2_000;
+    private static final RequestId ID =
+            RequestId.newBuilder()
+                    .setEntryNode("entry")
+                    .setEntryIncarnation(1)
+                    .setSequence(1)
+                    .build();
+
+    private final List<MeshFrame> replies = new ArrayList<>();
+    private final List<Consumer<Claim>> asked = new ArrayList<>();
+    private final List<Call> released = new ArrayList<>();
+    private final List<Consumer<UpstreamOutcome>> runs = new ArrayList<>();
+    private final TargetDispatcher dispatcher = dispatcher();
+
+    private TargetDispatcher dispatcher() {
+        UpstreamRegistration upstream = new UpstreamRegistration(DEADLINE_MILLISECONDS);
+        upstream.announce(
+                new Announcement(
+                        new ServiceName("besuch"),
+                        new UpstreamAddress("127.0.0.1", 1),
+                        10,
+                        10,
+                        UpstreamState.SERVING),
+                0);
+        AdmissionController admission =
+                AdmissionController.create(new AdmissionOptions(0, 10, Map.of()));
+        admission.onUpstream(UpstreamState.SERVING, 10, 10);
+        return new TargetDispatcher(
+                TargetLedger.bounded(new Incarnation(1), new LedgerLimits(100, 1_000, 100)),
+                admission,
+                upstream,
+                (address, call, remaining, whenDone) -> runs.add(whenDone),
+                new RecordingClaims(),
+                new TargetTiming(() -> 0, () -> NOW_MILLISECONDS, 0));
+    }
+
+    private final class RecordingClaims implements ClaimService {
+        @Override
+        public void claim(Call call, Consumer<Claim> whenDone) {
+            asked.add(whenDone);
+        }
+
+        @Override
+        public void release(Call call) {
+            released.add(call);
+        }
+    }
+
+    @Test
+    void should_answer_unknown_and_not_run_when_an_earlier_request_has_the_key() {
+        call();
+        asked.get(0).accept(Claim.TAKEN);
+        assertThat(last().getBodyCase()).isEqualTo(BodyCase.FAILED);
+        assertThat(runs).isEmpty();
+        assertThat(released).isEmpty();
+    }
+
+    @Test
+    void should_refuse_and_release_when_the_claim_is_unavailable() {
+        call();
+        asked.get(0).accept(Claim.UNAVAILABLE);
+        assertThat(last().getRefused().getReason()).isEqualTo(RefusalReason.CLAIM_UNAVAILABLE);
+        assertThat(runs).isEmpty();
+        assertThat(released).hasSize(1);
+    }
+
+    @Test
+    void should_release_only_when_the_upstream_did_not_run_the_call() {
+        for (boolean ran : new boolean[] {true, false}) {
+            // given
+            TargetDispatcherClaimTest fresh = new TargetDispatcherClaimTest();
+            fresh.call();
+            fresh.asked.get(0).accept(Claim.GRANTED);
+
+            // when
+            fresh.runs
+                    .get(0)
+                    .accept(
+                            ran
+                                    ? new UpstreamOutcome.Failed("connection reset")
+                                    : new UpstreamOutcome.NotRun(true, false));
+
+            // then
+            assertThat(fresh.released).hasSize(ran ? 0 : 1);
+        }
+    }
+
+    @Test
+    void should_release_once_the_claim_is_answered_when_the_call_was_sealed_before() {
+        // given
+        call();
+        dispatcher.onFrame(
+                link(),
+                MeshFrame.newBuilder()
+                        .setSeal(
+                                SealRequest.newBuilder()
+                                        .setRequestId(ID)
+                                        .setAttempt(1)
+                                        .setTargetIncarnation(1)
+                                        .setDeadlineEpochMilliseconds(
+                                                NOW_MILLISECONDS + DEADLINE_MILLISECONDS))
+                        .build());
+        assertThat(released).isEmpty();
+
+        // when
+        asked.get(0).accept(Claim.GRANTED);
+
+        // then
+        assertThat(released).hasSize(1);
+        assertThat(runs).isEmpty();
+    }
+
+    private void call() {
+        dispatcher.onFrame(
+                link(),
+                MeshFrame.newBuilder()
+                        .setCall(
+                                Call.newBuilder()
+                                        .setRequestId(ID)
+                                        .setAttempt(1)
+                                        .setTargetIncarnation(1)
+                                        .setService("besuch")
+                                        .setCaller("staff")
+                                        .setIdempotencyKey("key-1")
+                                        .setNonIdempotent(true)
+                                        .setClaim(true)
+                                        .setDeadlineMilliseconds(DEADLINE_MILLISECONDS)
+                                        .setDeadlineEpochMilliseconds(
+                                                NOW_MILLISECONDS + DEADLINE_MILLISECONDS))
+                        .build());
+    }
+
+    private MeshFrame last() {
+        return replies.get(replies.size() - 1);
+    }
+
+    private MeshLink link() {
+        return new MeshLink() {
+            @Override
+            public NodeId peer() {
+                return new NodeId("entry");
+            }
+
+            @Override
+            public Incarnation incarnation() {
+                return new Incarnation(1);
+            }
+
+            @Override
+            public boolean send(MeshFrame frame) {
+                return replies.add(frame);
+            }
+        };
+    }
+}
