--- a/node/src/main/java/org/damaskmoor/node/NodeProcess.java
+++ b/node/src/main/java/org/damaskmoor/node/NodeProcess.java
@@ -4,14 +4,14 @@
 import com.google.common.flogger.FluentLogger;
 import java.net.InetSocketAddress;
 import java.net.URI;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.damaskmoor.core.configuration.ServiceMatcher;
-import org.damaskmoor.core.id.DataCentreName;
+import org.damaskmoor.core.configuration.ServiceTable;
 import org.damaskmoor.core.id.Incarnation;
 import org.damaskmoor.core.id.NodeId;
-import org.damaskmoor.core.id.RegionName;
 import org.damaskmoor.core.membership.MembershipProtocol;
 import org.damaskmoor.mesh.ChannelCustomizer;
 import org.damaskmoor.mesh.MeshLink;
@@ -38,6 +38,11 @@
 import org.damaskmoor.node.internal.mesh.SelfLink;
 import org.damaskmoor.node.internal.metrics.MetricsText;
 import org.damaskmoor.node.internal.metrics.NodeMetrics;
+import org.damaskmoor.node.internal.operator.OperatorParts;
+import org.damaskmoor.node.internal.operator.OperatorServer;
+import org.damaskmoor.node.internal.security.NodeSecurity;
+import org.damaskmoor.node.internal.stop.PlannedStop;
+import org.damaskmoor.node.internal.stop.StopSteps;
 import org.damaskmoor.node.internal.target.ClaimService;
 import org.damaskmoor.node.internal.target.TargetDuty;
 import org.damaskmoor.node.internal.target.TargetDuty.UpstreamStatus;
@@ -55,7 +60,7 @@
  * One node: the process beside an upstream VM, with all of its duties.
  *
  * <pre>{@code
- * NodeProcess node = new NodeProcess(settings, ChannelCustomizer.NONE);
+ * NodeProcess node = new NodeProcess(settings, Optional.empty(), ChannelCustomizer.NONE);
  * node.start().join();
  * node.stop().join();
  * }</pre>
@@ -65,8 +70,6 @@
  */
 public final class NodeProcess {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final long LEAVE_NOTICE_MILLISECONDS = 1_000;
-    private static final long IDLE_CHECK_MILLISECONDS = 20;
     private static final long CLAIM_RELEASE_PAUSE_MILLISECONDS = 1_000;
 
     private final NodeSettings settings;
@@ -87,21 +90,25 @@
     private final ConfigurationDuty configuration;
     private final MembershipDuty membership;
     private final ControlServer control;
+    private final OperatorServer operators;
     private volatile boolean stopping;
 
     /**
      * Creates a node that is not started.
      *
      * @param settings checked settings
+     * @param security TLS towards other nodes and operators, or empty for none
      * @param customizer changes each channel to other nodes before it is used
      */
-    public NodeProcess(NodeSettings settings, ChannelCustomizer customizer) {
+    public NodeProcess(
+            NodeSettings settings, Optional<NodeSecurity> security, ChannelCustomizer customizer) {
         this.settings = settings;
-        this.parameters = new NodeParameters(settings);
+        this.parameters = new NodeParameters(settings, security);
         this.self = new NodeId(settings.getNodeId());
         Incarnation incarnation = new Incarnation(System.currentTimeMillis());
         platform = new PlatformClient(PlatformClientLimits.defaults(), new SplittableRandom());
         TableService tables = platform.tableService(URI.create(settings.getTableServiceUrl()));
+        ServiceTable serviceTable = new PlatformServiceTable(tables);
         mesh =
                 new NettyMeshTransport(
                         parameters.mesh(incarnation), new FrameRouter(receivers()), customizer);
@@ -120,7 +127,7 @@
                         controlLoop::execute,
                         members,
                         mesh,
-                        new PlatformServiceTable(tables),
+                        serviceTable,
                         version -> membership().protocol().spread(version),
                         this::onConfiguration);
         membership =
@@ -145,6 +152,7 @@
                         this::isReady,
                         target::drain,
                         new MetricsText(metrics));
+        operators = operatorServer(serviceTable);
     }
 
     /** Opens all ports and joins the other nodes; completes when the ports are open. */
@@ -152,6 +160,7 @@
         return mesh.start()
                 .thenCompose(done -> gossip.start())
                 .thenCompose(address -> control.start())
+                .thenCompose(done -> operators.start())
                 .thenCompose(done -> entry.start())
                 .thenRun(this::startTicks);
     }
@@ -168,40 +177,30 @@
     public CompletableFuture<Void> stop() {
         stopping = true;
         logger.atInfo().log("event=node-stopping node=%s", self);
-        target.drain();
-        long deadline =
-                monotonicMilliseconds() + Math.max(0, settings.getDrainTimeoutMilliseconds());
-        return CompletableFuture.runAsync(() -> {}, later(LEAVE_NOTICE_MILLISECONDS))
-                .thenCompose(noticed -> entry.stop())
-                .thenCompose(closed -> whenTargetIdle(deadline))
-                .thenCompose(idle -> accounting.flush(deadline - monotonicMilliseconds()))
-                .thenCompose(flushed -> leave())
-                .thenCompose(left -> control.stop())
-                .thenCompose(stopped -> mesh.stop())
-                .thenCompose(stopped -> gossip.close())
+        StopSteps steps =
+                new StopSteps(
+                        target::drain,
+                        entry::stop,
+                        target::isIdle,
+                        accounting::flush,
+                        this::leave,
+                        this::closePorts);
+        long drain = settings.getDrainTimeoutMilliseconds();
+        return new PlannedStop(steps, drain, NodeProcess::monotonicMilliseconds)
+                .run()
                 .thenRun(this::stopLoops);
     }
 
-    private CompletableFuture<Void> whenTargetIdle(long deadlineMilliseconds) {
-        return target.isIdle()
-                .thenCompose(
-                        idle -> {
-                            if (idle || monotonicMilliseconds() >= deadlineMilliseconds) {
-                                return CompletableFuture.completedFuture(null);
-                            }
-                            return CompletableFuture.runAsync(
-                                            () -> {}, later(IDLE_CHECK_MILLISECONDS))
-                                    .thenCompose(waited -> whenTargetIdle(deadlineMilliseconds));
-                        });
+    private CompletableFuture<Void> leave() {
+        return controlLoop.submit(() -> membership.protocol().leave(monotonicMilliseconds()));
     }
 
-    private CompletableFuture<Void> leave() {
-        return controlLoop
-                .submit(() -> membership.protocol().leave(monotonicMilliseconds()))
-                .thenCompose(
-                        told ->
-                                CompletableFuture.runAsync(
-                                        () -> {}, later(LEAVE_NOTICE_MILLISECONDS)));
+    private CompletableFuture<Void> closePorts() {
+        return operators
+                .stop()
+                .thenCompose(closed -> control.stop())
+                .thenCompose(closed -> mesh.stop())
+                .thenCompose(closed -> gossip.close());
     }
 
     private void stopLoops() {
@@ -213,10 +212,6 @@
         logger.atInfo().log("event=node-stopped node=%s", self);
     }
 
-    private static java.util.concurrent.Executor later(long milliseconds) {
-        return CompletableFuture.delayedExecutor(milliseconds, TimeUnit.MILLISECONDS);
-    }
-
     private void startTicks() {
         accounting.start();
         controlLoop.execute(
@@ -237,6 +232,21 @@
         return membership;
     }
 
+    private OperatorServer operatorServer(ServiceTable table) {
+        OperatorParts parts =
+                new OperatorParts(
+                        self,
+                        controlLoop::execute,
+                        configuration,
+                        membership.protocol(),
+                        members,
+                        entry,
+                        target,
+                        table);
+        return new OperatorServer(
+                parameters.operatorAddress(), parameters.operatorSecurity(), parts.service());
+    }
+
     private FrameReceivers receivers() {
         return new FrameReceivers(
                 this::onEntryFrame,
@@ -300,7 +310,8 @@
                 platform.tableService(URI.create(settings.getTableServiceUrl())),
                 System::currentTimeMillis,
                 upstreamLoop::execute,
-                later(CLAIM_RELEASE_PAUSE_MILLISECONDS));
+                CompletableFuture.delayedExecutor(
+                        CLAIM_RELEASE_PAUSE_MILLISECONDS, TimeUnit.MILLISECONDS));
     }
 
     private EntryDuty entryDuty(Incarnation incarnation) {
@@ -312,7 +323,7 @@
                         mesh,
                         frame -> target.offer(selfLink, frame),
                         (frame, reason) -> entry().onUnsent(frame, reason));
-        ServiceRuntimes runtimes = serviceRuntimes();
+        ServiceRuntimes runtimes = parameters.runtimes(members, ChoicePolicyFactory.PRODUCT);
         EntryParts parts =
                 new EntryParts(
                         System::nanoTime,
@@ -335,17 +346,6 @@
         return accounting;
     }
 
-    private ServiceRuntimes serviceRuntimes() {
-        return new ServiceRuntimes(
-                new RegionName(settings.getRegion()),
-                new DataCentreName(settings.getDataCentre()),
-                parameters.routing(ChoicePolicyFactory.PRODUCT),
-                members,
-                System::nanoTime,
-                new SplittableRandom(),
-                ServiceMatcher.of(java.util.List.of()));
-    }
-
     private void onConfiguration(ServiceMatcher services) {
         entry.onConfiguration(services);
         target.onConfiguration(services);
