--- a/bench/src/main/java/org/damaskmoor/bench/verification/RefusalComparison.java
+++ b/bench/src/main/java/org/damaskmoor/bench/verification/RefusalComparison.java
@@ -16,6 +16,10 @@
 /**
  * Holds the refusals that are accounted for against the callers' ledger, by caller and reason.
  *
+ * <p>A refusal that was recorded and whose answer did not arrive, because the caller gave up or the
+ * node was killed just then, shows as a difference too; the detail tells whether there were sends
+ * without any answer.
+ *
  * <pre>{@code
  * List<Violation> differing = new RefusalComparison(callRecords).check(summary);
  * }</pre>
@@ -24,8 +28,11 @@
  */
 public final class RefusalComparison {
     private final Map<String, Long> told = new HashMap<>();
+    private final long unheard;
 
     public RefusalComparison(List<CallRecord> records) {
+        unheard =
+                records.stream().filter(line -> line.outcome() == Outcome.TRANSPORT_ERROR).count();
         records.stream()
                 .filter(line -> !line.direct() && line.outcome() == Outcome.REFUSED)
                 .forEach(line -> told.merge(key(line.caller(), line.reason()), 1L, Long::sum));
@@ -45,7 +52,11 @@
             long expected = told.getOrDefault(key, 0L);
             long reported = accounted.getOrDefault(key, 0L);
             if (expected != reported) {
-                String detail = "callers were told " + expected + ", accounted for " + reported;
+                String detail =
+                        String.format(
+                                "callers were told %d, accounted for %d;"
+                                        + " %d sends of all callers got no answer at all",
+                                expected, reported, unheard);
                 found.add(new Violation(Kind.REFUSALS_DIFFER, key, detail));
             }
         }
