--- a/bench/src/main/java/org/damaskmoor/bench/capacity/CapacityCommand.java
+++ b/bench/src/main/java/org/damaskmoor/bench/capacity/CapacityCommand.java
@@ -3,6 +3,7 @@
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
 import org.damaskmoor.bench.slope.MembershipSlope;
@@ -13,13 +14,14 @@
  */
 @Command(name = "capacity", description = "Measures what one more member or service costs a node.")
 public final class CapacityCommand implements Callable<Integer> {
+    private static final List<Integer> DEFAULT_MEMBERS = List.of(100, 1_000, 2_800);
     private static final long SEED = 11;
     private static final long MEASURED_MILLISECONDS = 60_000;
 
     @Option(
             name = "--members",
             description = "Sizes of the group for the membership slope. Default: 100, 1000, 2800.")
-    private List<Integer> members = List.of(100, 1_000, 2_800);
+    private List<Integer> members = new ArrayList<>();
 
     @Option(
             name = "--idle-seconds",
@@ -36,7 +38,7 @@
         System.out.println(StateSlopes.router());
         System.out.println(StateSlopes.ledger());
         System.out.println(StateSlopes.refusals());
-        for (int size : members) {
+        for (int size : members.isEmpty() ? DEFAULT_MEMBERS : members) {
             System.out.println(
                     "membership "
                             + new MembershipSlope(size, SEED).run(MEASURED_MILLISECONDS).line());
