Refuse bad input with an accounted answer, and notice callers that go

Cause: ActiveJ 6.0-rc2 answers a malformed head by itself with an empty 400, closes the connection without a word when a body is malformed or too long, reads nothing while a request is served (so a caller that goes is not noticed), keeps a connection open after "Connection: close", waits for a body after the head of an answer to HEAD, adds Content-Length: 0 to 204 and 304, and lets bare CR and NUL pass in fields. Paths with a second reading passed a rule's prefix.

Ruled out: judging by exception texts (RequestChecks.reason); a subclass of HttpServer (final); the library's accept filter (cannot answer); the library's loadBody (closes before a reply).

Change: CallerSocket stands between the library and the socket: it reads ahead while a request is served, takes the connection over for refusals, lingers so that the answer is read, and closes after the last reply. HttpConnections opens the library's connections over it by one method handle. RequestChecks, RequestPath and FieldSyntax refuse what the library lets pass.

--- a/node/src/main/java/org/damaskmoor/node/NodeProcess.java
+++ b/node/src/main/java/org/damaskmoor/node/NodeProcess.java
@@ -33,6 +33,7 @@
 import org.damaskmoor.node.internal.entry.ServiceRuntimes;
 import org.damaskmoor.node.internal.entry.ServiceRuntimes.ChoicePolicyFactory;
 import org.damaskmoor.node.internal.entry.ServiceRuntimes.RoutingDefaults;
+import org.damaskmoor.node.internal.http.CallerLimits;
 import org.damaskmoor.node.internal.members.JoinPoints;
 import org.damaskmoor.node.internal.members.MemberDirectory;
 import org.damaskmoor.node.internal.members.MembershipDuty;
@@ -162,6 +163,11 @@
         return configuration.isReady() && !stopping;
     }
 
+    /** Requests of callers at this node that wait for their reply. */
+    public int openRequests() {
+        return entry.openRequests();
+    }
+
     /**
      * A planned stop: takes no new work, finishes what is in flight within the drain timeout, tells
      * the other nodes, and ends.
@@ -317,7 +323,10 @@
                                 settings.getDefaultTimeoutMilliseconds(),
                                 settings.getAcceptanceTimeoutMilliseconds()),
                         new InetSocketAddress(settings.getAddress(), settings.getHttpPort()),
-                        settings.getMaximumBodyBytes(),
+                        new CallerLimits(
+                                settings.getMaximumBodyBytes(),
+                                settings.getConnections(),
+                                settings.getConnectionsPerCaller()),
                         Duration.ofMillis(settings.getDrainTimeoutMilliseconds()));
         SelfLink selfLink = new SelfLink(self, incarnation, frame -> entry().offer(frame));
         MeshCarrier carrier =
--- a/node/src/main/java/org/damaskmoor/node/internal/entry/EntryDispatcher.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/EntryDispatcher.java
@@ -1,9 +1,9 @@
 package org.damaskmoor.node.internal.entry;
 
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -35,7 +35,7 @@
     private final RequestMatcher matcher;
     private final Function<MatchedRequest, ServiceRuntime> runtimes;
     private final EntryEnvironment environment;
-    private final Map<Long, EntryExchange> exchanges = new HashMap<>();
+    private final Map<Long, EntryExchange> exchanges = new ConcurrentHashMap<>();
     private final LongSupplier epochMilliseconds;
     private long lastSequence;
 
--- a/node/src/main/java/org/damaskmoor/node/internal/entry/EntryDuty.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/EntryDuty.java
@@ -12,6 +12,7 @@
 import org.damaskmoor.mesh.MeshLink;
 import org.damaskmoor.mesh.ring.BoundedMailbox;
 import org.damaskmoor.node.internal.duty.DutyLoop;
+import org.damaskmoor.node.internal.http.CallerLimits;
 import org.damaskmoor.node.internal.http.CallerServer;
 import org.damaskmoor.schema.mesh.MeshFrame;
 import org.damaskmoor.schema.mesh.RefusalReason;
@@ -63,7 +64,7 @@
                 new CallerServer(
                         loop.loop(),
                         settings.address(),
-                        settings.maximumBodyBytes(),
+                        settings.callerLimits(),
                         settings.stopTimeout(),
                         dispatcher,
                         parts.clock());
@@ -76,13 +77,13 @@
      *
      * @param limits its bounds
      * @param address where callers connect to
-     * @param maximumBodyBytes longest body of a request
+     * @param callerLimits bounds of the port for callers
      * @param stopTimeout longest time that a planned stop waits for open requests
      */
     public record EntrySettings(
             EntryLimits limits,
             InetSocketAddress address,
-            int maximumBodyBytes,
+            CallerLimits callerLimits,
             Duration stopTimeout) {}
 
     /** Opens the port for callers. */
@@ -90,11 +91,21 @@
         return server.start();
     }
 
+    /** Serves on, but tells callers with each reply to connect elsewhere. Any thread. */
+    public void announceClose() {
+        server.announceClose();
+    }
+
     /** Takes no new connections and finishes the open requests. */
     public CompletableFuture<Void> stop() {
         return server.stop();
     }
 
+    /** Requests that wait for their reply. Any thread. */
+    public int openRequests() {
+        return dispatcher.openRequests();
+    }
+
     /** Takes a frame about a call that this node sent; false when the ring is full. */
     public boolean offer(MeshFrame frame) {
         boolean offered = mailbox.offer(frame);
--- /dev/null
+++ b/node/src/main/java/org/damaskmoor/node/internal/http/CallerListener.java
@@ -0,0 +1,36 @@
+package org.damaskmoor.node.internal.http;
+
+import io.activej.net.AbstractReactiveServer;
+import io.activej.net.socket.tcp.ITcpSocket;
+import io.activej.reactor.nio.NioReactor;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.function.BiConsumer;
+
+/** Accepts callers' connections and hands each on. Confined to the caller event loop. */
+final class CallerListener extends AbstractReactiveServer {
+    private final BiConsumer<ITcpSocket, InetAddress> connections;
+
+    private CallerListener(NioReactor loop, BiConsumer<ITcpSocket, InetAddress> connections) {
+        super(loop);
+        this.connections = connections;
+    }
+
+    static CallerListener at(
+            NioReactor loop,
+            InetSocketAddress address,
+            BiConsumer<ITcpSocket, InetAddress> connections) {
+        return new CallerListener(loop, connections).new Builder(address).build();
+    }
+
+    @Override
+    protected void serve(ITcpSocket socket, InetAddress remote) {
+        connections.accept(socket, remote);
+    }
+
+    private final class Builder extends AbstractReactiveServer.Builder<Builder, CallerListener> {
+        Builder(InetSocketAddress address) {
+            withListenAddress(address);
+        }
+    }
+}
--- a/node/src/main/java/org/damaskmoor/node/internal/http/CallerServer.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/http/CallerServer.java
@@ -1,50 +1,56 @@
 package org.damaskmoor.node.internal.http;
 
+import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
-import io.activej.bytebuf.ByteBuf;
 import io.activej.eventloop.Eventloop;
 import io.activej.http.HttpHeaders;
+import io.activej.http.HttpMethod;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import io.activej.http.HttpServer;
 import io.activej.http.HttpServerConnection;
+import io.activej.net.socket.tcp.ITcpSocket;
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.IdentityHashMap;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import org.damaskmoor.schema.mesh.HeaderField;
 import org.damaskmoor.schema.mesh.RefusalReason;
 
 /**
  * The port for callers: reads whole requests, hands them on and writes the replies.
  *
- * <p>Confined to the caller event loop, but for {@link #start} and {@link #stop}. Invariant: a
- * connection serves one request at a time, so that a reply reaches only its own request.
+ * <p>Confined to the caller event loop, but for {@link #start} and {@link #stop}. Invariants: a
+ * connection serves one request at a time, so that a reply reaches only its own request; what can't
+ * be read is refused and its connection closed, so that the rest is not taken for a request.
  */
 public final class CallerServer {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final Duration READ_WRITE_TIMEOUT = Duration.ofSeconds(30);
     private static final Duration KEEP_ALIVE_TIMEOUT = Duration.ofSeconds(30);
+    private static final int CLIENT_CLOSED = 499;
 
     private final Eventloop loop;
-    private final int maximumBodyBytes;
+    private final CallerLimits limits;
     private final CallerHandler handler;
     private final LongSupplier clock;
+    private final CallerListener listener;
     private final HttpServer server;
-    private final IdentityHashMap<HttpServerConnection, Runnable> openRequests =
-            new IdentityHashMap<>();
-    private boolean stopping;
+    private final UnreadRefusals refusals;
+    private final CallerConnections connections;
+    private CallerSocket accepting;
+    private volatile boolean closing;
 
     /**
      * Creates a server that does not listen yet.
      *
      * @param loop the caller event loop
      * @param address where it will listen
-     * @param maximumBodyBytes longest body of a request
+     * @param limits its bounds
      * @param stopTimeout longest time that {@link #stop} waits for open requests
      * @param handler leads requests to their replies
      * @param clock the monotonic clock, in nanoseconds
@@ -52,22 +58,28 @@
     public CallerServer(
             Eventloop loop,
             InetSocketAddress address,
-            int maximumBodyBytes,
+            CallerLimits limits,
             Duration stopTimeout,
             CallerHandler handler,
             LongSupplier clock) {
         this.loop = loop;
-        this.maximumBodyBytes = maximumBodyBytes;
+        this.limits = limits;
         this.handler = handler;
         this.clock = clock;
+        this.refusals = new UnreadRefusals(handler);
+        this.connections = new CallerConnections(limits);
+        this.listener = CallerListener.at(loop, address, this::accept);
         this.server =
                 HttpServer.builder(loop, this::serve)
-                        .withListenAddress(address)
                         .withReadWriteTimeout(READ_WRITE_TIMEOUT)
                         .withKeepAliveTimeout(KEEP_ALIVE_TIMEOUT)
                         .withServeTimeoutShutdown(stopTimeout)
-                        .withHttpErrorFormatter(exception -> unreadable(exception))
-                        .withInspector(new DisconnectInspector(this::onDisconnect))
+                        .withHttpErrorFormatter(CallerServer::afterException)
+                        .withInspector(
+                                new ConnectionInspector(
+                                        connection -> connection.setUserData(accepting),
+                                        (connection, head) ->
+                                                refusals.refuseHead(socket(connection), head)))
                         .build();
     }
 
@@ -76,59 +88,98 @@
         return loop.submit(this::listen);
     }
 
+    /** Tells callers from now on, with each reply, to connect elsewhere. Any thread. */
+    public void announceClose() {
+        closing = true;
+    }
+
     /** Takes no new connection, finishes the open requests and closes. */
     public CompletableFuture<Void> stop() {
         CompletableFuture<Void> stopped = new CompletableFuture<>();
         loop.execute(
                 () -> {
-                    stopping = true;
-                    server.close().whenComplete(() -> stopped.complete(null));
+                    closing = true;
+                    listener.close()
+                            .then(() -> server.close())
+                            .whenComplete(() -> stopped.complete(null));
                 });
         return stopped;
     }
 
     private void listen() throws IOException {
         server.listen();
+        listener.listen();
     }
 
-    private Promise<HttpResponse> serve(HttpRequest request) {
-        if (RequestChecks.isAmbiguous(request)) {
-            return refuseUnread(request, RefusalReason.MALFORMED);
+    private void accept(ITcpSocket raw, InetAddress remote) {
+        Optional<RefusalReason> tooMany = connections.open(remote);
+        CallerSocket socket = new CallerSocket(loop, raw, () -> connections.close(remote));
+        if (tooMany.isPresent()) {
+            refusals.refuse(socket, remote.getHostAddress(), tooMany.get());
+            return;
         }
-        return request.loadBody(maximumBodyBytes)
-                .then(
-                        body -> dispatch(request, body),
-                        exception -> refuseUnread(request, RequestChecks.reason(exception)));
+        socket.whenMalformed(
+                () ->
+                        refusals.refuse(
+                                socket, RequestChecks.UNKNOWN_CALLER, RefusalReason.MALFORMED));
+        accepting = socket;
+        HttpConnections.serve(server, socket, remote);
     }
 
-    private Promise<HttpResponse> dispatch(HttpRequest request, ByteBuf body) {
-        CallerRequest callerRequest = callerRequest(request, body);
-        SettablePromise<HttpResponse> response = new SettablePromise<>();
-        HttpServerConnection connection = request.getConnection();
-        Runnable cancellation =
-                handler.handle(callerRequest, reply -> finish(connection, reply, response));
-        if (!response.isComplete()) {
-            openRequests.put(connection, cancellation);
+    private Promise<HttpResponse> serve(HttpRequest request) {
+        CallerSocket socket = socket(request.getConnection());
+        Optional<RefusalReason> fault = RequestChecks.fault(request, limits.bodyBytes());
+        if (fault.isPresent()) {
+            refusals.refuse(socket, RequestChecks.callerName(request), fault.get());
+            return Promise.ofException(new RequestRefusedException());
         }
+        SettablePromise<HttpResponse> response = new SettablePromise<>();
+        readBody(request, socket, response);
         return response;
     }
 
-    private void finish(
-            HttpServerConnection connection,
-            CallerReply reply,
-            SettablePromise<HttpResponse> response) {
-        openRequests.remove(connection);
-        response.trySet(response(reply));
+    private void readBody(
+            HttpRequest request, CallerSocket socket, SettablePromise<HttpResponse> response) {
+        String caller = RequestChecks.callerName(request);
+        socket.whenMalformed(() -> refusals.refuse(socket, caller, RefusalReason.MALFORMED));
+        socket.bodyWanted(true);
+        BodyReader.read(
+                loop,
+                request,
+                limits.bodyBytes(),
+                body -> {
+                    socket.bodyWanted(false);
+                    dispatch(request, body, socket, response);
+                },
+                reason -> {
+                    refusals.refuse(socket, caller, reason);
+                    response.trySetException(new RequestRefusedException());
+                });
     }
 
-    private void onDisconnect(HttpServerConnection connection) {
-        Runnable cancellation = openRequests.remove(connection);
-        if (cancellation != null) {
-            cancellation.run();
+    private void dispatch(
+            HttpRequest request,
+            byte[] body,
+            CallerSocket socket,
+            SettablePromise<HttpResponse> response) {
+        boolean head = request.getMethod() == HttpMethod.HEAD;
+        Runnable cancellation =
+                handler.handle(
+                        callerRequest(request, body),
+                        reply -> {
+                            socket.unwatch();
+                            response.trySet(response(reply, head, socket));
+                        });
+        if (!response.isComplete()) {
+            socket.watch(
+                    () -> {
+                        cancellation.run();
+                        response.trySet(HttpResponse.ofCode(CLIENT_CLOSED).build());
+                    });
         }
     }
 
-    private CallerRequest callerRequest(HttpRequest request, ByteBuf body) {
+    private CallerRequest callerRequest(HttpRequest request, byte[] body) {
         String host = request.getHeader(HttpHeaders.HOST);
         return new CallerRequest(
                 request.getMethod().name(),
@@ -136,35 +187,32 @@
                 request.getPathAndQuery(),
                 CallerRequest.hostWithoutPort(host == null ? "" : host),
                 HeaderFields.endToEnd(request),
-                ByteString.copyFrom(body.getArray()),
+                ByteString.copyFrom(body),
                 request.getRemoteAddress(),
                 clock.getAsLong());
     }
 
-    private HttpResponse response(CallerReply reply) {
-        HttpResponse.Builder response = HttpResponse.ofCode(reply.status());
-        for (HeaderField field : reply.headers()) {
-            response.withHeader(HttpHeaders.of(field.getName()), field.getValue());
+    private HttpResponse response(CallerReply reply, boolean head, CallerSocket socket) {
+        HttpResponse.Builder response = CallerResponses.of(reply, head);
+        if (CallerResponses.hasNoLength(reply, head)) {
+            socket.omitLength();
         }
-        if (stopping) {
+        if (closing) {
+            socket.closeAfterReply();
             response.withHeader(HttpHeaders.CONNECTION, "close");
         }
-        response.withBody(reply.body().toByteArray());
         return response.build();
     }
 
-    private Promise<HttpResponse> refuseUnread(HttpRequest request, RefusalReason reason) {
-        return refusal(RequestChecks.callerName(request), reason);
-    }
-
-    private Promise<HttpResponse> unreadable(Exception exception) {
-        return refusal(RequestChecks.UNKNOWN_CALLER, RequestChecks.reason(exception));
+    /** The reply after a fault in this node; of a refused request it is never written. */
+    private static Promise<HttpResponse> afterException(Exception exception) {
+        if (!(exception instanceof RequestRefusedException)) {
+            logger.atSevere().withCause(exception).log("event=request-failed step=entry peer=self");
+        }
+        return CallerResponses.of(OutcomeReplies.unknown("entry", "self"), false).toPromise();
     }
 
-    private Promise<HttpResponse> refusal(String caller, RefusalReason reason) {
-        SettablePromise<HttpResponse> response = new SettablePromise<>();
-        Consumer<CallerReply> whenReady = reply -> response.trySet(response(reply));
-        handler.refuseUnread(caller, reason, whenReady);
-        return response;
+    private static CallerSocket socket(HttpServerConnection connection) {
+        return (CallerSocket) connection.getUserData();
     }
 }
--- a/node/src/main/java/org/damaskmoor/node/internal/http/HeaderFields.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/http/HeaderFields.java
@@ -14,7 +14,8 @@
 
 /**
  * Copies fields between HTTP messages and the mesh's form, without those that belong to one
- * connection only (RFC 9110, section 7.6.1).
+ * connection only (RFC 9110, section 7.6.1). Names that are no token are left out, and control
+ * characters in values become spaces, so that no field can end its line.
  *
  * <p>Stateless and thread-safe.
  */
@@ -44,13 +45,24 @@
             if (isDecoded(lowerCase, entry.getValue().toString())) {
                 continue;
             }
-            if (!HOP_BY_HOP.contains(lowerCase) && !named.contains(lowerCase)) {
-                fields.add(field(name, entry.getValue().toString()));
+            boolean endToEnd = !HOP_BY_HOP.contains(lowerCase) && !named.contains(lowerCase);
+            if (endToEnd && FieldSyntax.isName(name)) {
+                fields.add(field(name, FieldSyntax.cleaned(entry.getValue().toString())));
             }
         }
         return fields;
     }
 
+    /** The end-to-end fields of an answer, and its length, which an answer to HEAD passes on. */
+    public static List<HeaderField> ofAnswer(HttpMessage answer) {
+        List<HeaderField> fields = endToEnd(answer);
+        String length = answer.getHeader(HttpHeaders.CONTENT_LENGTH);
+        if (length != null && answer.getHeader(HttpHeaders.CONTENT_ENCODING) == null) {
+            fields.add(field("Content-Length", FieldSyntax.cleaned(length)));
+        }
+        return fields;
+    }
+
     /** A field with the given name and value. */
     public static HeaderField field(String name, String value) {
         return HeaderField.newBuilder().setName(name).setValue(value).build();
--- /dev/null
+++ b/node/src/main/java/org/damaskmoor/node/internal/http/HttpConnections.java
@@ -0,0 +1,44 @@
+package org.damaskmoor.node.internal.http;
+
+import io.activej.http.HttpServer;
+import io.activej.net.socket.tcp.ITcpSocket;
+import java.lang.invoke.MethodHandle;
+import java.lang.invoke.MethodHandles;
+import java.lang.invoke.MethodType;
+import java.net.InetAddress;
+
+/**
+ * Opens the HTTP library's connections over sockets of ours: the library itself accepts plain
+ * sockets only.
+ *
+ * <p>Stateless and thread-safe. Fails when this class is loaded if the library no longer has the
+ * method.
+ */
+final class HttpConnections {
+    private static final MethodHandle SERVE = serveMethod();
+
+    private HttpConnections() {}
+
+    /** Serves HTTP over the socket. Call on the server's event loop. */
+    static void serve(HttpServer server, ITcpSocket socket, InetAddress remote) {
+        try {
+            SERVE.invokeExact(server, socket, remote);
+        } catch (RuntimeException | Error failure) {
+            throw failure;
+        } catch (Throwable impossible) {
+            throw new IllegalStateException("the HTTP server threw a checked one", impossible);
+        }
+    }
+
+    private static MethodHandle serveMethod() {
+        try {
+            return MethodHandles.privateLookupIn(HttpServer.class, MethodHandles.lookup())
+                    .findVirtual(
+                            HttpServer.class,
+                            "serve",
+                            MethodType.methodType(void.class, ITcpSocket.class, InetAddress.class));
+        } catch (ReflectiveOperationException absent) {
+            throw new ExceptionInInitializerError(absent);
+        }
+    }
+}
--- a/node/src/main/java/org/damaskmoor/node/internal/http/OutcomeReplies.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/http/OutcomeReplies.java
@@ -3,6 +3,7 @@
 import static org.damaskmoor.node.internal.http.HeaderFields.field;
 
 import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
 import com.google.protobuf.ByteString;
 import java.util.ArrayList;
 import java.util.List;
@@ -75,6 +76,13 @@
         return reply(GATEWAY_TIMEOUT, headers(UNKNOWN), problem);
     }
 
+    /** The same problem under another status of the same class. */
+    static CallerReply withStatus(CallerReply reply, int status) {
+        JsonObject problem = JsonParser.parseString(reply.body().toStringUtf8()).getAsJsonObject();
+        problem.addProperty("status", status);
+        return reply(status, reply.headers(), problem);
+    }
+
     /** A reason as callers read it, for example {@code queue-full}. */
     public static String wireName(RefusalReason reason) {
         return reason.name().toLowerCase(Locale.ROOT).replace('_', '-');
--- a/node/src/main/java/org/damaskmoor/node/internal/http/RequestChecks.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/http/RequestChecks.java
@@ -1,10 +1,14 @@
 package org.damaskmoor.node.internal.http;
 
+import io.activej.http.AbstractHttpConnection;
 import io.activej.http.HttpHeader;
 import io.activej.http.HttpHeaderValue;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpRequest;
+import io.activej.http.HttpVersion;
 import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Pattern;
 import org.damaskmoor.schema.mesh.RefusalReason;
 
 /** Checks that the HTTP library leaves to its user. Stateless and thread-safe. */
@@ -12,27 +16,95 @@
     static final String UNKNOWN_CALLER = "unknown";
 
     private static final HttpHeader CALLER = HttpHeaders.of("Damaskmoor-Caller");
+    private static final Pattern HOST = Pattern.compile("[A-Za-z0-9._~:\\[\\]-]*");
+    private static final Pattern QUERY = Pattern.compile("[\\x21-\\x7e&&[^#]]*");
+    private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
 
     private RequestChecks() {}
 
-    /** Whether the end of the body is not certain (RFC 9112, section 6.3), or the host is not. */
-    static boolean isAmbiguous(HttpRequest request) {
+    /** Why a request whose head was read must be refused before its body is read, if so. */
+    static Optional<RefusalReason> fault(HttpRequest request, int maximumBodyBytes) {
+        if (!hasCertainEnd(request) || !hasOneHost(request) || !isTargetPlain(request)) {
+            return Optional.of(RefusalReason.MALFORMED);
+        }
+        if (!areFieldsPlain(request)) {
+            return Optional.of(RefusalReason.MALFORMED);
+        }
+        String length = request.getHeader(HttpHeaders.CONTENT_LENGTH);
+        boolean large = length != null && Long.parseLong(length.strip()) > maximumBodyBytes;
+        return large ? Optional.of(RefusalReason.TOO_LARGE) : Optional.empty();
+    }
+
+    /**
+     * Why a head that the library could not read is refused: it is too large when a line is longer,
+     * or the lines are more, than the library's bounds.
+     */
+    static RefusalReason unreadable(byte[] head) {
+        int lines = 0;
+        int lineStart = 0;
+        for (int i = 0; i < head.length; i++) {
+            if (i - lineStart > AbstractHttpConnection.MAX_HEADER_LINE_SIZE_BYTES) {
+                return RefusalReason.TOO_LARGE;
+            }
+            if (head[i] == '\n') {
+                lines++;
+                lineStart = i + 1;
+            }
+        }
+        boolean tooMany = lines > AbstractHttpConnection.MAX_HEADERS;
+        return tooMany ? RefusalReason.TOO_LARGE : RefusalReason.MALFORMED;
+    }
+
+    static String callerName(HttpRequest request) {
+        String name = request.getHeader(CALLER);
+        return name == null || name.isEmpty() || !FieldSyntax.isValue(name) ? UNKNOWN_CALLER : name;
+    }
+
+    /** Whether the end of the body is certain (RFC 9112, section 6.3). */
+    private static boolean hasCertainEnd(HttpRequest request) {
         int lengths = count(request, HttpHeaders.CONTENT_LENGTH);
         int encodings = count(request, HttpHeaders.TRANSFER_ENCODING);
+        String length = request.getHeader(HttpHeaders.CONTENT_LENGTH);
+        String encoding = request.getHeader(HttpHeaders.TRANSFER_ENCODING);
+        return lengths + encodings <= 1
+                && (length == null || LENGTH.matcher(length.strip()).matches())
+                && (encoding == null || encoding.equalsIgnoreCase("chunked"));
+    }
+
+    private static boolean hasOneHost(HttpRequest request) {
         int hosts = count(request, HttpHeaders.HOST);
-        return lengths > 1 || lengths + encodings > 1 || hosts > 1;
+        String host = request.getHeader(HttpHeaders.HOST);
+        boolean needed = request.getVersion() != HttpVersion.HTTP_1_0;
+        return hosts <= 1
+                && (hosts == 1 || !needed)
+                && (host == null || HOST.matcher(host).matches());
     }
 
-    /** Why a request that caused the exception is refused. */
-    static RefusalReason reason(Exception exception) {
-        String message = String.valueOf(exception.getMessage()).toLowerCase(java.util.Locale.ROOT);
-        boolean large = message.contains("size") || message.contains("exceed");
-        return large ? RefusalReason.TOO_LARGE : RefusalReason.MALFORMED;
+    /** The library reads a target without a slash as a host; its full URL shows what was sent. */
+    private static boolean isTargetPlain(HttpRequest request) {
+        String query = request.getQuery();
+        String host = request.getHeader(HttpHeaders.HOST);
+        String url = request.getFullUrl();
+        boolean sameHost =
+                host == null
+                        ? url.startsWith("/") || url.contains("://")
+                        : url.equals("http://" + host + request.getPathAndQuery());
+        return sameHost
+                && RequestPath.isPlain(request.getPath())
+                && (query == null || QUERY.matcher(query).matches())
+                && (request.getFragment() == null || request.getFragment().isEmpty());
     }
 
-    static String callerName(HttpRequest request) {
-        String name = request.getHeader(CALLER);
-        return name == null || name.isEmpty() ? UNKNOWN_CALLER : name;
+    private static boolean areFieldsPlain(HttpRequest request) {
+        for (Map.Entry<HttpHeader, HttpHeaderValue> entry : request.getHeaders()) {
+            boolean plain =
+                    FieldSyntax.isName(entry.getKey().toString())
+                            && FieldSyntax.isValue(entry.getValue().toString());
+            if (!plain) {
+                return false;
+            }
+        }
+        return true;
     }
 
     private static int count(HttpRequest request, HttpHeader name) {
--- a/node/src/main/java/org/damaskmoor/node/internal/members/MembershipDuty.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/members/MembershipDuty.java
@@ -38,6 +38,7 @@
     private final LongSupplier milliseconds;
     private final RandomGenerator random;
     private boolean changed = true;
+    private MemberRecord publishedSelf = MemberRecord.getDefaultInstance();
     private long nextJoinMilliseconds;
     private long nextCheckMilliseconds;
 
@@ -181,8 +182,10 @@
     }
 
     private void publishIfChanged() {
-        if (changed) {
+        MemberRecord self = protocol.self();
+        if (changed || !self.equals(publishedSelf)) {
             changed = false;
+            publishedSelf = self;
             directory.publish(protocol.members());
             listener.onPublished();
         }
--- a/node/src/main/java/org/damaskmoor/node/internal/target/HttpUpstreamClient.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/target/HttpUpstreamClient.java
@@ -75,7 +75,7 @@
         }
         outcome.limit(loop.delay(remainingMilliseconds, outcome::expire));
         client.request(request)
-                .then(this::readWhole)
+                .then(response -> readWhole(call, response))
                 .whenResult(outcome::accept)
                 .whenException(exception -> outcome.accept(failure(request, exception)));
     }
@@ -87,7 +87,13 @@
         return new UpstreamOutcome.Failed(String.valueOf(exception));
     }
 
-    private Promise<UpstreamOutcome> readWhole(HttpResponse response) {
+    /** The library takes the length in an answer to HEAD for that of a body, which never comes. */
+    private Promise<UpstreamOutcome> readWhole(Call call, HttpResponse response) {
+        if (call.getMethod().equals("HEAD")) {
+            UpstreamOutcome outcome = outcome(response, ByteBuf.empty());
+            response.takeBodyStream().close();
+            return Promise.of(outcome);
+        }
         return response.loadBody(maximumBodyBytes).map(body -> outcome(response, body));
     }
 
@@ -100,7 +106,7 @@
         return new UpstreamOutcome.Answered(
                 CallAnswer.newBuilder()
                         .setStatus(response.getCode())
-                        .addAllHeaders(HeaderFields.endToEnd(response))
+                        .addAllHeaders(HeaderFields.ofAnswer(response))
                         .setBody(ByteString.copyFrom(body.getArray()))
                         .build());
     }
@@ -125,6 +131,9 @@
         request.withHeader(
                 HttpHeaders.of("Damaskmoor-Deadline-Ms"), Long.toString(remainingMilliseconds));
         request.withHeader(HttpHeaders.of("Damaskmoor-Caller"), call.getCaller());
+        if (call.getMethod().equals("HEAD")) {
+            request.withHeader(HttpHeaders.CONNECTION, "close");
+        }
         if (!call.getBody().isEmpty()) {
             request.withBody(call.getBody().toByteArray());
         }
--- /dev/null
+++ b/node/src/test/java/org/damaskmoor/node/AnswersTest.java
@@ -0,0 +1,196 @@
+package org.damaskmoor.node;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.sun.net.httpserver.HttpExchange;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import java.util.zip.GZIPOutputStream;
+import org.damaskmoor.node.fixture.FakeTableService;
+import org.damaskmoor.node.fixture.FakeUpstream;
+import org.damaskmoor.node.fixture.RawClient;
+import org.damaskmoor.node.fixture.TestNode;
+import org.damaskmoor.schema.configuration.ServiceConfiguration;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+final class AnswersTest {
+    private static final String HOST = " HTTP/1.1\r\nHost: besuch.bern.example\r\n";
+    private static final CountDownLatch released = new CountDownLatch(1);
+
+    private static FakeTableService tables;
+    private static TestNode node;
+    private static FakeUpstream upstream;
+
+    @BeforeAll
+    static void start() throws IOException {
+        tables =
+                new FakeTableService(
+                        ServiceConfiguration.newBuilder()
+                                .setName("besuch")
+                                .addHosts("besuch.bern.example")
+                                .build());
+        node = TestNode.start(tables.url(), settings -> {});
+        upstream = new FakeUpstream(node, "besuch", AnswersTest::answer);
+        TestNode.await("requests are answered", () -> ask("GET /body").contains(" 200 "));
+    }
+
+    @AfterAll
+    static void stop() {
+        released.countDown();
+        upstream.close();
+        node.close();
+        tables.close();
+    }
+
+    private static void answer(HttpExchange exchange) throws IOException {
+        byte[] received = exchange.getRequestBody().readAllBytes();
+        switch (exchange.getRequestURI().getPath()) {
+            case "/echo" -> send(exchange, 200, received);
+            case "/gzip" -> {
+                exchange.getResponseHeaders().set("Content-Encoding", "gzip");
+                send(exchange, 200, gzip("packed".getBytes(StandardCharsets.UTF_8)));
+            }
+            case "/204" -> exchange.sendResponseHeaders(204, -1);
+            case "/304" -> exchange.sendResponseHeaders(304, -1);
+            case "/wait" -> {
+                awaitRelease();
+                send(exchange, 200, new byte[0]);
+            }
+            case "/split" -> {
+                exchange.getResponseHeaders().set("X-Plain", "kept");
+                OutputStream raw = exchange.getResponseBody();
+                exchange.getResponseHeaders().add("X-Bare", "a\u007fb\u0001c");
+                exchange.sendResponseHeaders(200, 2);
+                raw.write("ok".getBytes(StandardCharsets.UTF_8));
+            }
+            default -> send(exchange, 200, "hello".getBytes(StandardCharsets.UTF_8));
+        }
+        exchange.close();
+    }
+
+    private static void send(HttpExchange exchange, int status, byte[] body) throws IOException {
+        if (exchange.getRequestMethod().equals("HEAD")) {
+            exchange.getResponseHeaders().set("Content-Length", Integer.toString(body.length));
+            exchange.sendResponseHeaders(status, -1);
+            return;
+        }
+        exchange.sendResponseHeaders(status, body.length == 0 ? -1 : body.length);
+        exchange.getResponseBody().write(body);
+    }
+
+    private static void awaitRelease() {
+        try {
+            released.await();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static byte[] gzip(byte[] plain) throws IOException {
+        ByteArrayOutputStream packed = new ByteArrayOutputStream();
+        try (GZIPOutputStream gzip = new GZIPOutputStream(packed)) {
+            gzip.write(plain);
+        }
+        return packed.toByteArray();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"HEAD /body", "GET /204", "GET /304"})
+    void should_keep_the_connection_in_step_when_answer_has_no_body(String request)
+            throws IOException {
+        // given
+        try (RawClient client = new RawClient(node.port())) {
+            // when
+            String first = client.send(request + HOST + "\r\n").readHead();
+            String second = client.send("GET /body" + HOST + "\r\n").readAnswer();
+
+            // then
+            assertThat(first).doesNotContain("hello");
+            assertThat(first.contains("Content-Length: 5")).isEqualTo(request.startsWith("HEAD"));
+            assertThat(first.contains("Content-Length: 0")).isFalse();
+            assertThat(second).endsWith("\r\n\r\nhello");
+        }
+    }
+
+    @Test
+    void should_answer_whole_and_unpacked_when_upstream_packs() {
+        // when
+        String answer = ask("GET /gzip");
+
+        // then
+        assertThat(answer).endsWith("\r\n\r\npacked");
+        assertThat(answer).doesNotContainMatch("(?i)content-encoding");
+    }
+
+    @Test
+    void should_hand_over_unpacked_when_caller_packs() throws IOException {
+        // given
+        byte[] body = gzip("packed request".getBytes(StandardCharsets.UTF_8));
+
+        // when
+        String answer;
+        try (RawClient client = new RawClient(node.port())) {
+            client.send("POST /echo" + HOST + "Content-Encoding: gzip\r\n");
+            answer =
+                    client.send("Content-Length: " + body.length + "\r\n\r\n")
+                            .send(body)
+                            .readAnswer();
+        }
+
+        // then
+        assertThat(answer).endsWith("\r\n\r\npacked request");
+    }
+
+    @Test
+    void should_put_chunks_together_when_caller_sends_chunks() throws IOException {
+        // when
+        String answer;
+        try (RawClient client = new RawClient(node.port())) {
+            client.send("POST /echo" + HOST + "Transfer-Encoding: chunked\r\n\r\n");
+            answer = client.send("3\r\nabc\r\n").send("2;x=y\r\nde\r\n0\r\n\r\n").readAnswer();
+        }
+
+        // then
+        assertThat(answer).endsWith("\r\n\r\nabcde");
+    }
+
+    @Test
+    void should_clean_fields_when_upstream_sends_control_characters() {
+        // when
+        String answer = ask("GET /split");
+
+        // then
+        assertThat(answer).containsMatch("(?i)x-plain: kept\r\n");
+        assertThat(answer).containsMatch("(?i)x-bare: a b c\r\n");
+    }
+
+    @Test
+    void should_free_the_place_when_caller_goes() throws IOException {
+        // given
+        int before = upstream.started.get();
+        RawClient client = new RawClient(node.port()).send("GET /wait" + HOST + "\r\n");
+        TestNode.await("the request runs", () -> upstream.started.get() == before + 1);
+        assertThat(node.process.openRequests()).isEqualTo(1);
+
+        // when
+        client.close();
+
+        // then
+        TestNode.await("its place is free", () -> node.process.openRequests() == 0);
+    }
+
+    private static String ask(String request) {
+        try (RawClient client = new RawClient(node.port())) {
+            return client.send(request + HOST + "\r\n").readAnswer();
+        } catch (IOException failure) {
+            throw new IllegalStateException(failure);
+        }
+    }
+}
