--- a/node/src/main/java/org/damaskmoor/node/NodeProcess.java
+++ b/node/src/main/java/org/damaskmoor/node/NodeProcess.java
@@ -170,6 +170,11 @@
         return configuration.isReady() && !stopping;
     }
 
+    /** Requests of callers at this node that wait for their reply. */
+    public int openRequests() {
+        return entry.openRequests();
+    }
+
     /**
      * A planned stop: takes no new work, finishes what is in flight within the drain timeout, tells
      * the other nodes, and ends.
--- a/node/src/main/java/org/damaskmoor/node/internal/NodeParameters.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/NodeParameters.java
@@ -19,6 +19,7 @@
 import org.damaskmoor.node.internal.entry.ServiceRuntimes;
 import org.damaskmoor.node.internal.entry.ServiceRuntimes.ChoicePolicyFactory;
 import org.damaskmoor.node.internal.entry.ServiceRuntimes.RoutingDefaults;
+import org.damaskmoor.node.internal.http.CallerLimits;
 import org.damaskmoor.node.internal.members.MemberDirectory;
 import org.damaskmoor.node.internal.security.NodeSecurity;
 import org.damaskmoor.node.internal.target.TargetDuty.TargetLimits;
@@ -78,7 +79,10 @@
         return new EntrySettings(
                 limits,
                 new InetSocketAddress(settings.getAddress(), settings.getHttpPort()),
-                settings.getMaximumBodyBytes(),
+                new CallerLimits(
+                        settings.getMaximumBodyBytes(),
+                        settings.getConnections(),
+                        settings.getConnectionsPerCaller()),
                 Duration.ofMillis(settings.getDrainTimeoutMilliseconds()));
     }
 
