--- a/bench/src/main/java/org/damaskmoor/bench/demo/DemoCommand.java
+++ b/bench/src/main/java/org/damaskmoor/bench/demo/DemoCommand.java
@@ -54,6 +54,7 @@
                 new OperatorServiceApplier(
                         site.places().stream().map(Place::operatorPort).toList()),
                 new StoredRefusals(client),
+                new ReportedRefusals(site.platformUrl()),
                 MeasuringBytes.NOT_MEASURED,
                 progress);
     }
--- a/node/src/main/java/org/damaskmoor/node/NodeProcess.java
+++ b/node/src/main/java/org/damaskmoor/node/NodeProcess.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.damaskmoor.core.configuration.ServiceMatcher;
-import org.damaskmoor.core.configuration.ServiceTable;
 import org.damaskmoor.core.id.DataCentreName;
 import org.damaskmoor.core.id.Incarnation;
 import org.damaskmoor.core.id.NodeId;
@@ -20,13 +19,17 @@
 import org.damaskmoor.mesh.NettyMeshTransport;
 import org.damaskmoor.mesh.gossip.GossipTransport;
 import org.damaskmoor.node.internal.NodeParameters;
+import org.damaskmoor.node.internal.accounting.AccountingDuty;
+import org.damaskmoor.node.internal.accounting.AccountingFactory;
+import org.damaskmoor.node.internal.accounting.ServiceLevelOutcomes;
+import org.damaskmoor.node.internal.claims.TableClaims;
 import org.damaskmoor.node.internal.configuration.ConfigurationDuty;
 import org.damaskmoor.node.internal.control.ControlServer;
 import org.damaskmoor.node.internal.duty.DutyLoop;
+import org.damaskmoor.node.internal.duty.Pauses;
 import org.damaskmoor.node.internal.entry.EntryDuty;
 import org.damaskmoor.node.internal.entry.EntryParts;
 import org.damaskmoor.node.internal.entry.MeshCarrier;
-import org.damaskmoor.node.internal.entry.RefusalRecorder;
 import org.damaskmoor.node.internal.entry.ServiceRuntimes;
 import org.damaskmoor.node.internal.entry.ServiceRuntimes.ChoicePolicyFactory;
 import org.damaskmoor.node.internal.members.JoinPoints;
@@ -40,7 +43,7 @@
 import org.damaskmoor.node.internal.operator.OperatorParts;
 import org.damaskmoor.node.internal.operator.OperatorServer;
 import org.damaskmoor.node.internal.security.NodeSecurity;
-import org.damaskmoor.node.internal.target.ClaimService.Claim;
+import org.damaskmoor.node.internal.target.ClaimService;
 import org.damaskmoor.node.internal.target.TargetDuty;
 import org.damaskmoor.node.internal.target.TargetDuty.UpstreamStatus;
 import org.damaskmoor.platform.PlatformClient;
@@ -68,7 +71,7 @@
 public final class NodeProcess {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final long LEAVE_NOTICE_MILLISECONDS = 1_000;
-    private static final long IDLE_CHECK_MILLISECONDS = 20;
+    private static final long CLAIM_RELEASE_PAUSE_MILLISECONDS = 1_000;
 
     private final NodeSettings settings;
     private final NodeParameters parameters;
@@ -76,11 +79,13 @@
     private final DutyLoop callerLoop = new DutyLoop("callers");
     private final DutyLoop upstreamLoop = new DutyLoop("upstream");
     private final DutyLoop controlLoop = new DutyLoop("control");
+    private final DutyLoop accountingLoop = new DutyLoop("accounting");
     private final MetricRegistry metrics = new MetricRegistry();
     private final MemberDirectory members = new MemberDirectory();
     private final PlatformClient platform;
     private final NettyMeshTransport mesh;
     private final GossipTransport gossip;
+    private final AccountingDuty accounting;
     private final EntryDuty entry;
     private final TargetDuty target;
     private final ConfigurationDuty configuration;
@@ -104,7 +109,6 @@
         Incarnation incarnation = new Incarnation(System.currentTimeMillis());
         platform = new PlatformClient(PlatformClientLimits.defaults(), new SplittableRandom());
         TableService tables = platform.tableService(URI.create(settings.getTableServiceUrl()));
-        ServiceTable serviceTable = new PlatformServiceTable(tables);
         mesh =
                 new NettyMeshTransport(
                         parameters.mesh(incarnation), new FrameRouter(receivers()), customizer);
@@ -113,6 +117,9 @@
                         new InetSocketAddress(settings.getAddress(), settings.getGossipPort()),
                         this::onDatagram,
                         customizer);
+        accounting =
+                AccountingFactory.create(
+                        settings, incarnation, callerLoop, accountingLoop, members, mesh, platform);
         target = targetDuty(incarnation);
         entry = entryDuty(incarnation);
         configuration =
@@ -120,7 +127,7 @@
                         controlLoop::execute,
                         members,
                         mesh,
-                        serviceTable,
+                        new PlatformServiceTable(tables),
                         version -> membership().protocol().spread(version),
                         this::onConfiguration);
         membership =
@@ -145,7 +152,15 @@
                         this::isReady,
                         target::drain,
                         new MetricsText(metrics));
-        operators = operatorServer(serviceTable);
+        operators =
+                new OperatorParts(
+                                controlLoop::execute,
+                                configuration,
+                                membership.protocol(),
+                                members,
+                                entry,
+                                target)
+                        .server(parameters);
     }
 
     /** Opens all ports and joins the other nodes; completes when the ports are open. */
@@ -173,10 +188,14 @@
         target.drain();
         long deadline =
                 monotonicMilliseconds() + Math.max(0, settings.getDrainTimeoutMilliseconds());
-        return CompletableFuture.runAsync(() -> {}, later(LEAVE_NOTICE_MILLISECONDS))
+        return Pauses.after(LEAVE_NOTICE_MILLISECONDS)
                 .thenCompose(noticed -> entry.stop())
-                .thenCompose(closed -> whenTargetIdle(deadline))
-                .thenCompose(idle -> operators.stop())
+                .thenCompose(
+                        closed ->
+                                Pauses.until(
+                                        target::isIdle, TimeUnit.MILLISECONDS.toNanos(deadline)))
+                .thenCompose(idle -> accounting.flush(deadline - monotonicMilliseconds()))
+                .thenCompose(flushed -> operators.stop())
                 .thenCompose(stopped -> leave())
                 .thenCompose(left -> control.stop())
                 .thenCompose(stopped -> mesh.stop())
@@ -184,41 +203,23 @@
                 .thenRun(this::stopLoops);
     }
 
-    private CompletableFuture<Void> whenTargetIdle(long deadlineMilliseconds) {
-        return target.isIdle()
-                .thenCompose(
-                        idle -> {
-                            if (idle || monotonicMilliseconds() >= deadlineMilliseconds) {
-                                return CompletableFuture.completedFuture(null);
-                            }
-                            return CompletableFuture.runAsync(
-                                            () -> {}, later(IDLE_CHECK_MILLISECONDS))
-                                    .thenCompose(waited -> whenTargetIdle(deadlineMilliseconds));
-                        });
-    }
-
     private CompletableFuture<Void> leave() {
         return controlLoop
                 .submit(() -> membership.protocol().leave(monotonicMilliseconds()))
-                .thenCompose(
-                        told ->
-                                CompletableFuture.runAsync(
-                                        () -> {}, later(LEAVE_NOTICE_MILLISECONDS)));
+                .thenCompose(told -> Pauses.after(LEAVE_NOTICE_MILLISECONDS));
     }
 
     private void stopLoops() {
         callerLoop.stop();
         upstreamLoop.stop();
         controlLoop.stop();
+        accountingLoop.stop();
         platform.close();
         logger.atInfo().log("event=node-stopped node=%s", self);
     }
 
-    private static java.util.concurrent.Executor later(long milliseconds) {
-        return CompletableFuture.delayedExecutor(milliseconds, TimeUnit.MILLISECONDS);
-    }
-
     private void startTicks() {
+        accounting.start();
         controlLoop.execute(
                 () -> configuration.begin(membership.nearestPeers(), monotonicMilliseconds()));
         SplittableRandom turns = new SplittableRandom();
@@ -237,28 +238,13 @@
         return membership;
     }
 
-    private OperatorServer operatorServer(ServiceTable table) {
-        OperatorParts parts =
-                new OperatorParts(
-                        self,
-                        controlLoop::execute,
-                        configuration,
-                        membership.protocol(),
-                        members,
-                        entry,
-                        target,
-                        table);
-        return new OperatorServer(
-                parameters.operatorAddress(), parameters.operatorSecurity(), parts.service());
-    }
-
     private FrameReceivers receivers() {
         return new FrameReceivers(
                 this::onEntryFrame,
                 this::onTargetFrame,
                 (link, frame) -> link.send(loadAnswer()),
                 (link, frame) -> controlLoop.execute(() -> configuration.onFrame(link, frame)),
-                (link, frame) -> {},
+                (link, frame) -> accounting().onFrame(link, frame),
                 this::onUnsent,
                 (peer, lastUsed) -> entry.onLinkLost(peer, lastUsed));
     }
@@ -304,10 +290,21 @@
                 parameters.target(),
                 System::nanoTime,
                 System::currentTimeMillis,
-                (call, whenDone) -> whenDone.accept(Claim.UNAVAILABLE),
+                claims(incarnation),
                 this::onUpstreamStatus);
     }
 
+    private ClaimService claims(Incarnation incarnation) {
+        return new TableClaims(
+                self,
+                incarnation,
+                platform.tableService(URI.create(settings.getTableServiceUrl())),
+                System::currentTimeMillis,
+                upstreamLoop::execute,
+                CompletableFuture.delayedExecutor(
+                        CLAIM_RELEASE_PAUSE_MILLISECONDS, TimeUnit.MILLISECONDS));
+    }
+
     private EntryDuty entryDuty(Incarnation incarnation) {
         SelfLink selfLink = new SelfLink(self, incarnation, frame -> entry().offer(frame));
         MeshCarrier carrier =
@@ -317,24 +314,27 @@
                         mesh,
                         frame -> target.offer(selfLink, frame),
                         (frame, reason) -> entry().onUnsent(frame, reason));
+        ServiceRuntimes runtimes = serviceRuntimes();
         EntryParts parts =
                 new EntryParts(
                         System::nanoTime,
                         System::currentTimeMillis,
                         callerLoop.timers(),
                         carrier,
-                        refusals(),
-                        new NodeMetrics(metrics, System::nanoTime));
-        return new EntryDuty(
-                callerLoop, self, incarnation, parameters.entry(), serviceRuntimes(), parts);
+                        accounting,
+                        new NodeMetrics(metrics, System::nanoTime)
+                                .andThen(
+                                        ServiceLevelOutcomes.of(
+                                                runtimes::matcher, accounting::onEnded)));
+        return new EntryDuty(callerLoop, self, incarnation, parameters.entry(), runtimes, parts);
     }
 
     private EntryDuty entry() {
         return entry;
     }
 
-    private RefusalRecorder refusals() {
-        return (refusal, whenRecorded) -> whenRecorded.accept("not-recorded");
+    private AccountingDuty accounting() {
+        return accounting;
     }
 
     private ServiceRuntimes serviceRuntimes() {
@@ -375,8 +375,14 @@
             entry.onMembers();
         }
 
+        @Override
+        public void onPresent(MemberRecord member) {
+            accounting.onPresent(member);
+        }
+
         @Override
         public void onGone(MemberRecord member) {
+            accounting.onGone(member);
             configuration.forget(new NodeId(member.getNodeId()));
         }
 
--- a/node/src/test/java/org/damaskmoor/node/internal/security/NodeSecurityTest.java
+++ b/node/src/test/java/org/damaskmoor/node/internal/security/NodeSecurityTest.java
@@ -10,6 +10,7 @@
 import io.netty.handler.ssl.SslContext;
 import io.netty.handler.ssl.SslContextBuilder;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Path;
@@ -117,7 +118,7 @@
         // given
         OperatorServer server =
                 new OperatorServer(
-                        new InetSocketAddress("127.0.0.1", 0),
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                         Optional.of(nodeSecurity().operators()),
                         new OperatorServiceGrpc.OperatorServiceImplBase() {});
         server.start().join();
@@ -215,7 +216,7 @@
     private MeshPeer start(Received listener, MeshSecurity security) throws IOException {
         int port = freePort();
         transport("target", port, listener, security).start().join();
-        return new MeshPeer(TARGET, new InetSocketAddress("127.0.0.1", port));
+        return new MeshPeer(TARGET, new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
     }
 
     private NettyMeshTransport transport(
@@ -224,7 +225,7 @@
                 new MeshSettings(
                         new NodeId(node),
                         new Incarnation(1),
-                        new InetSocketAddress("127.0.0.1", port),
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
                         1024 * 1024,
                         64,
                         Duration.ofSeconds(FAILED_TEST_SECONDS),
--- a/node/src/test/java/org/damaskmoor/node/internal/security/TestAuthority.java
+++ b/node/src/test/java/org/damaskmoor/node/internal/security/TestAuthority.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.security.GeneralSecurityException;
@@ -15,9 +16,11 @@
  * certificates, so its own program {@code keytool} makes them when a test is set up.
  */
 final class TestAuthority {
+    /** The same for all, so that only the signature tells one authority from another. */
+    private static final String SUBJECT = "CN=authority";
+
     private static final String PASSWORD = "test-only";
-    private static final Base64.Encoder BASE64 =
-            Base64.getMimeEncoder(64, System.lineSeparator().getBytes());
+    private static final Base64.Encoder BASE64 = Base64.getMimeEncoder(64, new byte[] {'\n'});
 
     private final Path directory;
     private final String name;
@@ -25,7 +28,7 @@
     TestAuthority(Path directory, String name) throws IOException, InterruptedException {
         this.directory = directory;
         this.name = name;
-        generate(name, "-ext", "bc:critical=ca:true");
+        generate(name, SUBJECT, "-ext", "bc:critical=ca:true");
     }
 
     /** File with the authority's own certificate. */
@@ -35,7 +38,7 @@
 
     /** Signs a certificate for the loopback address. */
     void sign(String node) throws IOException, InterruptedException {
-        generate(node, "-signer", name, "-ext", "san=ip:127.0.0.1,dns:localhost");
+        generate(node, "CN=" + node, "-signer", name, "-ext", "san=ip:127.0.0.1,dns:localhost");
     }
 
     Path certificateFile(String node) throws IOException, GeneralSecurityException {
@@ -47,7 +50,8 @@
         return pem(node + "-key", "PRIVATE KEY", key);
     }
 
-    private void generate(String alias, String... extra) throws IOException, InterruptedException {
+    private void generate(String alias, String subject, String... extra)
+            throws IOException, InterruptedException {
         List<String> command =
                 new ArrayList<>(
                         List.of(
@@ -59,7 +63,7 @@
                                 "-keyalg",
                                 "EC",
                                 "-dname",
-                                "CN=" + alias,
+                                subject,
                                 "-storetype",
                                 "PKCS12",
                                 "-storepass",
@@ -68,7 +72,7 @@
                                 storeFile().toString()));
         command.addAll(List.of(extra));
         Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
-        String output = new String(process.getInputStream().readAllBytes());
+        String output = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         if (process.waitFor() != 0) {
             throw new IOException("keytool failed: " + output);
         }
--- a/operator/src/test/java/org/damaskmoor/operator/FakeNode.java
+++ b/operator/src/test/java/org/damaskmoor/operator/FakeNode.java
@@ -13,7 +13,6 @@
 import org.damaskmoor.core.id.Incarnation;
 import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.core.id.RegionName;
-import org.damaskmoor.core.id.ServiceName;
 import org.damaskmoor.core.membership.MembershipProtocol;
 import org.damaskmoor.core.membership.MembershipSettings;
 import org.damaskmoor.core.routing.CandidateWeight;
@@ -75,7 +74,7 @@
                                 membership,
                                 configuration,
                                 LoadReport::getDefaultInstance,
-                                () -> table.read(new ServiceName("probe"))),
+                                configuration::probeTable),
                         new DrainCall(new NodeId("besuch-1"), members, () -> {}),
                         new ExplainCall(FakeNode::explain));
         server =
@@ -100,7 +99,7 @@
                         .setPing(Ping.newBuilder().setTarget("besuch-1"))
                         .addNews(record(node))
                         .build();
-        InetSocketAddress from = new InetSocketAddress("127.0.0.1", 1);
+        InetSocketAddress from = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
         CompletableFuture.runAsync(
                         () -> {
                             membership.receive(message, from, 0);
