--- a/node/src/main/java/org/damaskmoor/node/NodeProcess.java
+++ b/node/src/main/java/org/damaskmoor/node/NodeProcess.java
@@ -9,10 +9,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.damaskmoor.core.configuration.ServiceMatcher;
-import org.damaskmoor.core.id.DataCentreName;
+import org.damaskmoor.core.configuration.ServiceTable;
 import org.damaskmoor.core.id.Incarnation;
 import org.damaskmoor.core.id.NodeId;
-import org.damaskmoor.core.id.RegionName;
 import org.damaskmoor.core.membership.MembershipProtocol;
 import org.damaskmoor.mesh.ChannelCustomizer;
 import org.damaskmoor.mesh.MeshLink;
@@ -26,7 +25,6 @@
 import org.damaskmoor.node.internal.configuration.ConfigurationDuty;
 import org.damaskmoor.node.internal.control.ControlServer;
 import org.damaskmoor.node.internal.duty.DutyLoop;
-import org.damaskmoor.node.internal.duty.Pauses;
 import org.damaskmoor.node.internal.entry.EntryDuty;
 import org.damaskmoor.node.internal.entry.EntryParts;
 import org.damaskmoor.node.internal.entry.MeshCarrier;
@@ -43,6 +41,8 @@
 import org.damaskmoor.node.internal.operator.OperatorParts;
 import org.damaskmoor.node.internal.operator.OperatorServer;
 import org.damaskmoor.node.internal.security.NodeSecurity;
+import org.damaskmoor.node.internal.stop.PlannedStop;
+import org.damaskmoor.node.internal.stop.StopSteps;
 import org.damaskmoor.node.internal.target.ClaimService;
 import org.damaskmoor.node.internal.target.TargetDuty;
 import org.damaskmoor.node.internal.target.TargetDuty.UpstreamStatus;
@@ -70,7 +70,6 @@
  */
 public final class NodeProcess {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final long LEAVE_NOTICE_MILLISECONDS = 1_000;
     private static final long CLAIM_RELEASE_PAUSE_MILLISECONDS = 1_000;
 
     private final NodeSettings settings;
@@ -109,6 +108,7 @@
         Incarnation incarnation = new Incarnation(System.currentTimeMillis());
         platform = new PlatformClient(PlatformClientLimits.defaults(), new SplittableRandom());
         TableService tables = platform.tableService(URI.create(settings.getTableServiceUrl()));
+        ServiceTable serviceTable = new PlatformServiceTable(tables);
         mesh =
                 new NettyMeshTransport(
                         parameters.mesh(incarnation), new FrameRouter(receivers()), customizer);
@@ -127,7 +127,7 @@
                         controlLoop::execute,
                         members,
                         mesh,
-                        new PlatformServiceTable(tables),
+                        serviceTable,
                         version -> membership().protocol().spread(version),
                         this::onConfiguration);
         membership =
@@ -152,15 +152,7 @@
                         this::isReady,
                         target::drain,
                         new MetricsText(metrics));
-        operators =
-                new OperatorParts(
-                                controlLoop::execute,
-                                configuration,
-                                membership.protocol(),
-                                members,
-                                entry,
-                                target)
-                        .server(parameters);
+        operators = operatorServer(serviceTable);
     }
 
     /** Opens all ports and joins the other nodes; completes when the ports are open. */
@@ -185,28 +177,30 @@
     public CompletableFuture<Void> stop() {
         stopping = true;
         logger.atInfo().log("event=node-stopping node=%s", self);
-        target.drain();
-        long deadline =
-                monotonicMilliseconds() + Math.max(0, settings.getDrainTimeoutMilliseconds());
-        return Pauses.after(LEAVE_NOTICE_MILLISECONDS)
-                .thenCompose(noticed -> entry.stop())
-                .thenCompose(
-                        closed ->
-                                Pauses.until(
-                                        target::isIdle, TimeUnit.MILLISECONDS.toNanos(deadline)))
-                .thenCompose(idle -> accounting.flush(deadline - monotonicMilliseconds()))
-                .thenCompose(flushed -> operators.stop())
-                .thenCompose(stopped -> leave())
-                .thenCompose(left -> control.stop())
-                .thenCompose(stopped -> mesh.stop())
-                .thenCompose(stopped -> gossip.close())
+        StopSteps steps =
+                new StopSteps(
+                        target::drain,
+                        entry::stop,
+                        target::isIdle,
+                        accounting::flush,
+                        this::leave,
+                        this::closePorts);
+        long drain = settings.getDrainTimeoutMilliseconds();
+        return new PlannedStop(steps, drain, NodeProcess::monotonicMilliseconds)
+                .run()
                 .thenRun(this::stopLoops);
     }
 
     private CompletableFuture<Void> leave() {
-        return controlLoop
-                .submit(() -> membership.protocol().leave(monotonicMilliseconds()))
-                .thenCompose(told -> Pauses.after(LEAVE_NOTICE_MILLISECONDS));
+        return controlLoop.submit(() -> membership.protocol().leave(monotonicMilliseconds()));
+    }
+
+    private CompletableFuture<Void> closePorts() {
+        return operators
+                .stop()
+                .thenCompose(closed -> control.stop())
+                .thenCompose(closed -> mesh.stop())
+                .thenCompose(closed -> gossip.close());
     }
 
     private void stopLoops() {
@@ -238,6 +232,21 @@
         return membership;
     }
 
+    private OperatorServer operatorServer(ServiceTable table) {
+        OperatorParts parts =
+                new OperatorParts(
+                        self,
+                        controlLoop::execute,
+                        configuration,
+                        membership.protocol(),
+                        members,
+                        entry,
+                        target,
+                        table);
+        return new OperatorServer(
+                parameters.operatorAddress(), parameters.operatorSecurity(), parts.service());
+    }
+
     private FrameReceivers receivers() {
         return new FrameReceivers(
                 this::onEntryFrame,
@@ -314,7 +323,7 @@
                         mesh,
                         frame -> target.offer(selfLink, frame),
                         (frame, reason) -> entry().onUnsent(frame, reason));
-        ServiceRuntimes runtimes = serviceRuntimes();
+        ServiceRuntimes runtimes = parameters.runtimes(members, ChoicePolicyFactory.PRODUCT);
         EntryParts parts =
                 new EntryParts(
                         System::nanoTime,
@@ -337,17 +346,6 @@
         return accounting;
     }
 
-    private ServiceRuntimes serviceRuntimes() {
-        return new ServiceRuntimes(
-                new RegionName(settings.getRegion()),
-                new DataCentreName(settings.getDataCentre()),
-                parameters.routing(ChoicePolicyFactory.PRODUCT),
-                members,
-                System::nanoTime,
-                new SplittableRandom(),
-                ServiceMatcher.of(java.util.List.of()));
-    }
-
     private void onConfiguration(ServiceMatcher services) {
         entry.onConfiguration(services);
         target.onConfiguration(services);
--- a/node/src/main/java/org/damaskmoor/node/internal/NodeParameters.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/NodeParameters.java
@@ -3,16 +3,23 @@
 import io.netty.handler.ssl.SslContext;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import org.damaskmoor.core.configuration.ServiceMatcher;
+import org.damaskmoor.core.id.DataCentreName;
 import org.damaskmoor.core.id.Incarnation;
 import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.core.id.RegionName;
 import org.damaskmoor.core.routing.RoutingOptions;
 import org.damaskmoor.mesh.MeshSettings;
 import org.damaskmoor.node.internal.entry.EntryDuty.EntrySettings;
 import org.damaskmoor.node.internal.entry.EntryLimits;
+import org.damaskmoor.node.internal.entry.ServiceRuntimes;
 import org.damaskmoor.node.internal.entry.ServiceRuntimes.ChoicePolicyFactory;
 import org.damaskmoor.node.internal.entry.ServiceRuntimes.RoutingDefaults;
+import org.damaskmoor.node.internal.members.MemberDirectory;
 import org.damaskmoor.node.internal.security.NodeSecurity;
 import org.damaskmoor.node.internal.target.TargetDuty.TargetLimits;
 import org.damaskmoor.schema.gossip.MemberRecord;
@@ -84,8 +91,19 @@
                 TimeUnit.SECONDS.toMillis(settings.getKeyRetentionSeconds()));
     }
 
-    /** Routing of services that set nothing. */
-    public RoutingDefaults routing(ChoicePolicyFactory policy) {
+    /** The services that callers of this node use, none yet. */
+    public ServiceRuntimes runtimes(MemberDirectory members, ChoicePolicyFactory policy) {
+        return new ServiceRuntimes(
+                new RegionName(settings.getRegion()),
+                new DataCentreName(settings.getDataCentre()),
+                routing(policy),
+                members,
+                System::nanoTime,
+                new SplittableRandom(),
+                ServiceMatcher.of(List.of()));
+    }
+
+    private RoutingDefaults routing(ChoicePolicyFactory policy) {
         RoutingOptions options =
                 new RoutingOptions(
                         settings.getSampledCandidates(),
--- a/node/src/main/java/org/damaskmoor/node/internal/configuration/ConfigurationDuty.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/configuration/ConfigurationDuty.java
@@ -33,18 +33,15 @@
 /**
  * Keeps the configuration of this node current and carries out operators' changes.
  *
- * <p>Confined to the control event loop, but for {@link #matcher}, {@link #isReady} and {@link
- * #probeTable}, which any thread may call.
+ * <p>Confined to the control event loop, but for {@link #matcher} and {@link #isReady}, which any
+ * thread may call.
  */
 public final class ConfigurationDuty {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-    private static final ServiceName PROBED_SERVICE = new ServiceName("status-probe");
-
     private final Executor control;
     private final MemberDirectory members;
     private final MeshTransport mesh;
-    private final ServiceTable table;
     private final ConfigurationStore store;
     private final ConfigurationPuller puller;
     private final ConfigurationStart start;
@@ -75,7 +72,6 @@
         this.control = control;
         this.members = members;
         this.mesh = mesh;
-        this.table = table;
         this.spread = spread;
         this.onChange = onChange;
         store = new ConfigurationStore(this::onAccepted);
@@ -115,11 +111,6 @@
         return store.find(service);
     }
 
-    /** Reads from the table; fails when it gives no answer. Any thread. */
-    public CompletableFuture<?> probeTable() {
-        return table.read(PROBED_SERVICE);
-    }
-
     /** How other nodes' configurations stand to this one's. */
     public PeerConfigurations peers() {
         return peers;
--- a/node/src/test/java/org/damaskmoor/node/internal/security/TestAuthority.java
+++ b/node/src/test/java/org/damaskmoor/node/internal/security/TestAuthority.java
@@ -1,8 +1,9 @@
 package org.damaskmoor.node.internal.security;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import java.io.IOException;
 import java.io.InputStream;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.security.GeneralSecurityException;
@@ -20,7 +21,8 @@
     private static final String SUBJECT = "CN=authority";
 
     private static final String PASSWORD = "test-only";
-    private static final Base64.Encoder BASE64 = Base64.getMimeEncoder(64, new byte[] {'\n'});
+    private static final Base64.Encoder BASE64 =
+            Base64.getMimeEncoder(64, System.lineSeparator().getBytes(UTF_8));
 
     private final Path directory;
     private final String name;
@@ -72,7 +74,7 @@
                                 storeFile().toString()));
         command.addAll(List.of(extra));
         Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
-        String output = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        String output = new String(process.getInputStream().readAllBytes(), UTF_8);
         if (process.waitFor() != 0) {
             throw new IOException("keytool failed: " + output);
         }
--- a/operator/src/test/java/org/damaskmoor/operator/FakeNode.java
+++ b/operator/src/test/java/org/damaskmoor/operator/FakeNode.java
@@ -13,6 +13,7 @@
 import org.damaskmoor.core.id.Incarnation;
 import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.core.id.RegionName;
+import org.damaskmoor.core.id.ServiceName;
 import org.damaskmoor.core.membership.MembershipProtocol;
 import org.damaskmoor.core.membership.MembershipSettings;
 import org.damaskmoor.core.routing.CandidateWeight;
@@ -74,7 +75,7 @@
                                 membership,
                                 configuration,
                                 LoadReport::getDefaultInstance,
-                                configuration::probeTable),
+                                () -> table.read(new ServiceName("probe"))),
                         new DrainCall(new NodeId("besuch-1"), members, () -> {}),
                         new ExplainCall(FakeNode::explain));
         server =
