Name TLS among the reasons why a node gives no answer

Cause: a client without TLS got "Network closed for unknown reason" from a node with TLS, and the advice spoke of node and port only.

--- a/operator/src/main/java/org/damaskmoor/operator/internal/call/FailureReader.java
+++ b/operator/src/main/java/org/damaskmoor/operator/internal/call/FailureReader.java
@@ -40,7 +40,10 @@
         if (failure.getStatus().getCode() == Status.Code.NOT_FOUND) {
             return failed(failure, "Check the name: list the services, or ask for the status.");
         }
-        return failed(failure, "Check that the node runs and that --node names its operator port.");
+        return failed(
+                failure,
+                "Check that the node runs, that --node names its operator port, and that TLS is set"
+                        + " here as it is there.");
     }
 
     /**
