--- a/node/src/test/java/org/damaskmoor/node/internal/security/TestAuthority.java
+++ b/node/src/test/java/org/damaskmoor/node/internal/security/TestAuthority.java
@@ -17,6 +17,9 @@
  * certificates, so its own program {@code keytool} makes them when a test is set up.
  */
 final class TestAuthority {
+    /** The same for all, so that only the signature tells one authority from another. */
+    private static final String SUBJECT = "CN=authority";
+
     private static final String PASSWORD = "test-only";
     private static final Base64.Encoder BASE64 =
             Base64.getMimeEncoder(64, System.lineSeparator().getBytes(UTF_8));
@@ -27,7 +30,7 @@
     TestAuthority(Path directory, String name) throws IOException, InterruptedException {
         this.directory = directory;
         this.name = name;
-        generate(name, "-ext", "bc:critical=ca:true");
+        generate(name, SUBJECT, "-ext", "bc:critical=ca:true");
     }
 
     /** File with the authority's own certificate. */
@@ -37,7 +40,7 @@
 
     /** Signs a certificate for the loopback address. */
     void sign(String node) throws IOException, InterruptedException {
-        generate(node, "-signer", name, "-ext", "san=ip:127.0.0.1,dns:localhost");
+        generate(node, "CN=" + node, "-signer", name, "-ext", "san=ip:127.0.0.1,dns:localhost");
     }
 
     Path certificateFile(String node) throws IOException, GeneralSecurityException {
@@ -49,7 +52,8 @@
         return pem(node + "-key", "PRIVATE KEY", key);
     }
 
-    private void generate(String alias, String... extra) throws IOException, InterruptedException {
+    private void generate(String alias, String subject, String... extra)
+            throws IOException, InterruptedException {
         List<String> command =
                 new ArrayList<>(
                         List.of(
@@ -61,7 +65,7 @@
                                 "-keyalg",
                                 "EC",
                                 "-dname",
-                                "CN=" + alias,
+                                subject,
                                 "-storetype",
                                 "PKCS12",
                                 "-storepass",
