Soak bookings under a seeded schedule of faults

Change: `damaskmoor-bench soak` lays down load and faults in advance from one seed: kill -9, SIGSTOP and planned stop of nodes, kill and SIGSTOP of upstreams, cut and silenced links, three faults of the platform. Upstreams keep their runs in a file that outlasts their kill, with the id under which nodes know the request; a broken promise prints key, sends with entries and runs with upstreams.

--- a/bench/src/main/java/org/damaskmoor/bench/BenchMain.java
+++ b/bench/src/main/java/org/damaskmoor/bench/BenchMain.java
@@ -9,6 +9,7 @@
 import org.damaskmoor.bench.demo.LoadCommand;
 import org.damaskmoor.bench.link.EmulatedNode;
 import org.damaskmoor.bench.platform.PlatformStandInCommand;
+import org.damaskmoor.bench.soak.SoakCommand;
 import org.damaskmoor.bench.upstream.UpstreamStandInCommand;
 import org.damaskmoor.mesh.ChannelCustomizer;
 import org.damaskmoor.node.NodeMain;
@@ -53,6 +54,7 @@
         return Cli.<Callable<Integer>>builder("damaskmoor-bench")
                 .withCommand(DemoCommand.class)
                 .withCommand(LoadCommand.class)
+                .withCommand(SoakCommand.class)
                 .withCommand(PlatformStandInCommand.class)
                 .withCommand(UpstreamStandInCommand.class)
                 .build();
--- a/bench/src/main/java/org/damaskmoor/bench/demo/AccountedRefusals.java
+++ b/bench/src/main/java/org/damaskmoor/bench/demo/AccountedRefusals.java
@@ -5,7 +5,7 @@
 
 /** Counts the refusals that the object store accounts for. */
 @FunctionalInterface
-interface AccountedRefusals {
+public interface AccountedRefusals {
     /** A count that says that it was not taken. */
     AccountedRefusals NOT_MEASURED = objectStoreUrl -> OptionalLong.empty();
 
--- a/bench/src/main/java/org/damaskmoor/bench/demo/ChildProcesses.java
+++ b/bench/src/main/java/org/damaskmoor/bench/demo/ChildProcesses.java
@@ -1,6 +1,7 @@
 package org.damaskmoor.bench.demo;
 
 import java.io.IOException;
+import java.lang.ProcessBuilder.Redirect;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -14,7 +15,7 @@
  * <p>Invariant: every process started here is ended by {@link #close()} or at the end of this JVM.
  * Thread safe.
  */
-final class ChildProcesses implements AutoCloseable {
+public final class ChildProcesses implements AutoCloseable {
     private static final List<String> JVM_FLAGS =
             List.of(
                     "-Xmx64m",
@@ -30,13 +31,13 @@
     /**
      * @param directory where each process writes its log
      */
-    ChildProcesses(Path directory) {
+    public ChildProcesses(Path directory) {
         this.directory = directory;
         Runtime.getRuntime().addShutdownHook(new Thread(this::close, "end-children"));
     }
 
-    /** Starts a subcommand of this binary. */
-    synchronized void start(String name, List<String> arguments) throws IOException {
+    /** Starts a subcommand of this binary; a second start adds to the log of the first. */
+    public synchronized void start(String name, List<String> arguments) throws IOException {
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(JVM_FLAGS);
@@ -47,13 +48,14 @@
         Process process =
                 new ProcessBuilder(command)
                         .redirectErrorStream(true)
-                        .redirectOutput(directory.resolve(name + ".log").toFile())
+                        .redirectOutput(
+                                Redirect.appendTo(directory.resolve(name + ".log").toFile()))
                         .start();
         running.put(name, process);
     }
 
     /** Returns true while the process runs. */
-    synchronized boolean alive(String name) {
+    public synchronized boolean alive(String name) {
         return running.get(name).isAlive();
     }
 
@@ -63,10 +65,47 @@
     }
 
     /** Ends the process at once, as the loss of its VM would. */
-    synchronized void kill(String name) {
+    public synchronized void kill(String name) {
         running.get(name).destroyForcibly();
     }
 
+    /** Asks the process to end, as a planned stop does. */
+    public synchronized void terminate(String name) {
+        running.get(name).destroy();
+    }
+
+    /** Returns the exit code of a process that was told to end, once it ended. */
+    public int awaitEnd(String name) throws InterruptedException {
+        Process process;
+        synchronized (this) {
+            process = running.get(name);
+        }
+        return process.waitFor();
+    }
+
+    /** Stops the process where it stands, as a paused VM would, until {@link #resume}. */
+    public synchronized void freeze(String name) throws IOException {
+        signal("-STOP", name);
+    }
+
+    /** Lets a frozen process run on. */
+    public synchronized void resume(String name) throws IOException {
+        signal("-CONT", name);
+    }
+
+    private void signal(String signal, String name) throws IOException {
+        String pid = String.valueOf(running.get(name).pid());
+        try {
+            int code = new ProcessBuilder("kill", signal, pid).start().waitFor();
+            if (code != 0) {
+                throw new IOException("signal " + signal + " to " + name + " failed: " + code);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted at signal " + signal + " to " + name, e);
+        }
+    }
+
     /** Ends all processes: first politely, then at once. */
     @Override
     public synchronized void close() {
--- a/bench/src/main/java/org/damaskmoor/bench/demo/Place.java
+++ b/bench/src/main/java/org/damaskmoor/bench/demo/Place.java
@@ -7,47 +7,53 @@
  *
  * @param basePort the first of the VM's ports
  */
-record Place(String nodeId, String region, String dataCentre, Service service, int basePort) {
+public record Place(
+        String nodeId, String region, String dataCentre, Service service, int basePort) {
     /** How many ports each VM gets. */
-    static final int PORTS = 10;
+    public static final int PORTS = 10;
 
-    int httpPort() {
+    public int httpPort() {
         return basePort;
     }
 
-    int meshPort() {
+    public int meshPort() {
         return basePort + 1;
     }
 
-    int gossipPort() {
+    public int gossipPort() {
         return basePort + 2;
     }
 
-    int controlPort() {
+    public int controlPort() {
         return basePort + 3;
     }
 
-    int operatorPort() {
+    public int operatorPort() {
         return basePort + 4;
     }
 
-    int upstreamPort() {
+    public int upstreamPort() {
         return basePort + 5;
     }
 
-    String entryUrl() {
+    /** The name of the upstream's process; the node's is the node id. */
+    public String upstreamName() {
+        return nodeId + "-upstream";
+    }
+
+    public String entryUrl() {
         return url(httpPort());
     }
 
-    String controlUrl() {
+    public String controlUrl() {
         return url(controlPort());
     }
 
-    String upstreamUrl() {
+    public String upstreamUrl() {
         return url(upstreamPort());
     }
 
-    static String url(int port) {
+    public static String url(int port) {
         return "http://127.0.0.1:" + port;
     }
 }
--- a/bench/src/main/java/org/damaskmoor/bench/demo/Places.java
+++ b/bench/src/main/java/org/damaskmoor/bench/demo/Places.java
@@ -6,11 +6,11 @@
 import org.damaskmoor.bench.http.JsonObject;
 
 /** Lays a deployment's upstreams out over its data centres. Stateless and safe for all threads. */
-final class Places {
+public final class Places {
     private Places() {}
 
     /** Spreads each service's upstreams in turn over all data centres. */
-    static List<Place> of(Deployment deployment, int basePort) {
+    public static List<Place> of(Deployment deployment, int basePort) {
         List<String> dataCentres = deployment.dataCentres().names();
         List<Place> places = new ArrayList<>();
         for (Service service : deployment.services()) {
@@ -29,13 +29,13 @@
     }
 
     /** Returns how many ports a deployment takes, from its base port on. */
-    static int ports(Deployment deployment) {
+    public static int ports(Deployment deployment) {
         int upstreams = deployment.services().stream().mapToInt(Service::upstreams).sum();
         return Place.PORTS * (upstreams + 1);
     }
 
     /** Returns the link file that tells the nodes where every port stands. */
-    static JsonObject linkFile(Deployment deployment, List<Place> places) {
+    public static JsonObject linkFile(Deployment deployment, List<Place> places) {
         JsonObject ports = new JsonObject();
         for (Place place : places) {
             ports.with(String.valueOf(place.meshPort()), place.dataCentre());
--- a/bench/src/main/java/org/damaskmoor/bench/demo/Site.java
+++ b/bench/src/main/java/org/damaskmoor/bench/demo/Site.java
@@ -13,7 +13,7 @@
  *
  * <p>Not thread safe.
  */
-final class Site {
+public final class Site {
     private static final String PLATFORM = "platform";
     private static final long POLL_MILLISECONDS = 50;
 
@@ -24,7 +24,10 @@
     private final ChildProcesses children;
     private final BlockingClient client;
 
-    Site(
+    /**
+     * @param directory takes the link file, the ledgers of runs and the logs
+     */
+    public Site(
             Deployment deployment,
             int basePort,
             Path directory,
@@ -38,29 +41,48 @@
         this.client = client;
     }
 
-    List<Place> places() {
+    public List<Place> places() {
         return places;
     }
 
-    String platformUrl() {
+    public String platformUrl() {
         return Place.url(platformPort);
     }
 
     /** Starts the platform stand-in and all upstreams. */
-    void startStandIns() throws IOException {
+    public void startStandIns() throws IOException {
         children.start(
                 PLATFORM, List.of("platform-stand-in", "--port", String.valueOf(platformPort)));
         for (Place place : places) {
-            children.start(place.nodeId() + "-upstream", upstreamArguments(place));
+            startUpstream(place);
         }
     }
 
+    /** Starts the upstream of one place, for the first time or again. */
+    public void startUpstream(Place place) throws IOException {
+        children.start(place.upstreamName(), upstreamArguments(place));
+    }
+
+    /** Starts the node of one place, for the first time or again. */
+    public void startNode(Place place) throws IOException {
+        children.start(place.nodeId(), nodeArguments(place, linkFile()));
+    }
+
+    /** Returns the file that nodes read their links from, again and again. */
+    public Path linkFile() {
+        return directory.resolve("links.json");
+    }
+
+    /** Returns the file in which the place's upstream keeps its runs, also through restarts. */
+    public Path ledgerFile(Place place) {
+        return directory.resolve(place.upstreamName() + ".ledger");
+    }
+
     /** Starts all nodes. */
-    void startNodes() throws IOException {
-        Path linkFile = directory.resolve("links.json");
-        Files.writeString(linkFile, Places.linkFile(deployment, places).toString());
+    public void startNodes() throws IOException {
+        Files.writeString(linkFile(), Places.linkFile(deployment, places).toString());
         for (Place place : places) {
-            children.start(place.nodeId(), nodeArguments(place, linkFile));
+            startNode(place);
         }
     }
 
@@ -68,6 +90,7 @@
         Deployment.Service service = place.service();
         return List.of(
                 "upstream-stand-in",
+                "--ledger-file=" + ledgerFile(place),
                 "--service=" + service.configuration().getName(),
                 "--port=" + place.upstreamPort(),
                 "--control-url=" + place.controlUrl(),
@@ -94,7 +117,7 @@
     }
 
     /** Waits until the platform and all upstreams answer. */
-    void awaitStandIns(long timeoutMilliseconds) throws IOException, InterruptedException {
+    public void awaitStandIns(long timeoutMilliseconds) throws IOException, InterruptedException {
         List<String> urls = new ArrayList<>();
         urls.add(platformUrl() + "/stand-in/counters");
         places.forEach(place -> urls.add(place.upstreamUrl() + "/stand-in/counters"));
@@ -102,7 +125,7 @@
     }
 
     /** Waits until all nodes take callers. */
-    void awaitNodes(long timeoutMilliseconds) throws IOException, InterruptedException {
+    public void awaitNodes(long timeoutMilliseconds) throws IOException, InterruptedException {
         await(
                 places.stream().map(place -> place.controlUrl() + "/ready").toList(),
                 timeoutMilliseconds);
--- a/bench/src/main/java/org/damaskmoor/bench/demo/StoredRefusals.java
+++ b/bench/src/main/java/org/damaskmoor/bench/demo/StoredRefusals.java
@@ -15,12 +15,12 @@
  *
  * <p>Thread safe.
  */
-final class StoredRefusals implements AccountedRefusals {
+public final class StoredRefusals implements AccountedRefusals {
     private static final String PREFIX = "refusals/";
 
     private final BlockingClient client;
 
-    StoredRefusals(BlockingClient client) {
+    public StoredRefusals(BlockingClient client) {
         this.client = client;
     }
 
--- a/bench/src/main/java/org/damaskmoor/bench/http/Fields.java
+++ b/bench/src/main/java/org/damaskmoor/bench/http/Fields.java
@@ -10,6 +10,7 @@
     public static final HttpHeader CALLER = HttpHeaders.of("Damaskmoor-Caller");
     public static final HttpHeader DEADLINE_MILLISECONDS = HttpHeaders.of("Damaskmoor-Deadline-Ms");
     public static final HttpHeader IDEMPOTENCY_KEY = HttpHeaders.of("Idempotency-Key");
+    public static final HttpHeader REQUEST_ID = HttpHeaders.of("Damaskmoor-Request-Id");
     public static final HttpHeader E_TAG = HttpHeaders.of("ETag");
     public static final HttpHeader IF_MATCH = HttpHeaders.of("If-Match");
     public static final HttpHeader IF_NONE_MATCH = HttpHeaders.of("If-None-Match");
--- a/bench/src/main/java/org/damaskmoor/bench/load/CallRecord.java
+++ b/bench/src/main/java/org/damaskmoor/bench/load/CallRecord.java
@@ -10,6 +10,7 @@
  * @param reason why it was refused or failed; else empty
  * @param refusalId the id of the refusal; else empty
  * @param crossed true when an answer was another request's or not whole
+ * @param entry where it was sent
  * @param latencyNanoseconds time since the send was due
  */
 public record CallRecord(
@@ -21,4 +22,5 @@
         String reason,
         String refusalId,
         boolean crossed,
+        String entry,
         long latencyNanoseconds) {}
--- a/bench/src/main/java/org/damaskmoor/bench/load/Caller.java
+++ b/bench/src/main/java/org/damaskmoor/bench/load/Caller.java
@@ -97,6 +97,7 @@
                         reading.reason(),
                         reading.refusalId(),
                         reading.crossed(),
+                        entry.toString(),
                         now - dueNanoseconds));
         if (resends(call, attempt, reading.outcome())) {
             reactor.delay(RESEND_AFTER_MILLISECONDS, () -> resend(call, attempt + 1));
--- /dev/null
+++ b/bench/src/main/java/org/damaskmoor/bench/soak/SiteFaults.java
@@ -0,0 +1,129 @@
+package org.damaskmoor.bench.soak;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
+import org.damaskmoor.bench.demo.ChildProcesses;
+import org.damaskmoor.bench.demo.Place;
+import org.damaskmoor.bench.demo.Site;
+import org.damaskmoor.bench.http.BlockingClient;
+import org.damaskmoor.bench.http.JsonObject;
+
+/**
+ * Carries out faults on the processes and links of one site.
+ *
+ * <p>Not thread safe.
+ */
+public final class SiteFaults {
+    /** A step that begins or ends a fault. */
+    @FunctionalInterface
+    public interface Step {
+        /** Carries out the step. */
+        void run() throws IOException, InterruptedException;
+    }
+
+    /**
+     * One fault, ready to be carried out. Immutable.
+     *
+     * @param subject what it hits; two faults of one subject must not overlap
+     */
+    public record Fault(String subject, Step begin, Step end) {}
+
+    private static final Step NOTHING = () -> {};
+
+    private final Site site;
+    private final ChildProcesses children;
+    private final BlockingClient client;
+    private final LinkFaults links;
+
+    public SiteFaults(Site site, ChildProcesses children, BlockingClient client, LinkFaults links) {
+        this.site = site;
+        this.children = children;
+        this.client = client;
+        this.links = links;
+    }
+
+    /** Returns what a planned fault does here. */
+    public Fault of(PlannedFault planned) {
+        Place place = site.places().get(planned.number() % site.places().size());
+        return switch (planned.kind()) {
+            case KILL_NODE -> killed(place.nodeId(), () -> site.startNode(place));
+            case FREEZE_NODE -> frozen(place.nodeId());
+            case STOP_NODE -> stopped(place);
+            case KILL_UPSTREAM -> killed(place.upstreamName(), () -> site.startUpstream(place));
+            case FREEZE_UPSTREAM -> frozen(place.upstreamName());
+            case CUT_DATA_CENTRES -> cut(pair(planned, this::isWithinRegion));
+            case CUT_REGIONS -> cut(regions());
+            case SILENCE_DATA_CENTRES -> silence(pair(planned, pair -> true));
+            case SILENCE_REGIONS -> silence(regions());
+            case PLATFORM_DOWN -> platform("down");
+            case PLATFORM_SLOW -> platform("slow");
+            case PLATFORM_LOSES_ANSWERS -> platform("lose-answers");
+        };
+    }
+
+    private Fault killed(String name, Step restart) {
+        return new Fault(
+                name,
+                () -> {
+                    children.kill(name);
+                    children.awaitEnd(name);
+                },
+                restart);
+    }
+
+    private Fault frozen(String name) {
+        return new Fault(name, () -> children.freeze(name), () -> children.resume(name));
+    }
+
+    private Fault stopped(Place place) {
+        return new Fault(
+                place.nodeId(),
+                () -> children.terminate(place.nodeId()),
+                () -> {
+                    children.awaitEnd(place.nodeId());
+                    site.startNode(place);
+                });
+    }
+
+    private Fault cut(String pair) {
+        return new Fault("link " + pair, () -> links.cut(pair), () -> links.heal(pair));
+    }
+
+    private Fault silence(String pair) {
+        return new Fault("link " + pair, () -> links.silence(pair), NOTHING);
+    }
+
+    private Fault platform(String mode) {
+        return new Fault("platform", () -> switchPlatform(mode), () -> switchPlatform("none"));
+    }
+
+    private void switchPlatform(String mode) throws IOException {
+        JsonObject wanted = new JsonObject().with("mode", mode).with("delay_milliseconds", 1500);
+        client.post(site.platformUrl() + "/stand-in/faults", wanted.toString());
+    }
+
+    private String regions() {
+        List<String> names = site.places().stream().map(Place::region).distinct().toList();
+        return names.get(0) + "/" + names.get(1);
+    }
+
+    private String pair(PlannedFault planned, Predicate<List<Place>> wanted) {
+        List<List<Place>> pairs = new ArrayList<>();
+        for (Place first : site.places()) {
+            for (Place second : site.places()) {
+                boolean ordered = first.dataCentre().compareTo(second.dataCentre()) < 0;
+                if (ordered && wanted.test(List.of(first, second))) {
+                    pairs.add(List.of(first, second));
+                }
+            }
+        }
+        List<Place> chosen = pairs.get(planned.number() % pairs.size());
+        return chosen.get(0).dataCentre() + "/" + chosen.get(1).dataCentre();
+    }
+
+    private boolean isWithinRegion(List<Place> pair) {
+        return pair.get(0).region().equals(pair.get(1).region());
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/damaskmoor/bench/soak/SoakCommand.java
@@ -0,0 +1,98 @@
+package org.damaskmoor.bench.soak;
+
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.AllowedRawValues;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import org.damaskmoor.bench.demo.ChildProcesses;
+import org.damaskmoor.bench.demo.Deployment;
+import org.damaskmoor.bench.demo.Places;
+import org.damaskmoor.bench.demo.PortBlocks;
+import org.damaskmoor.bench.demo.Progress;
+import org.damaskmoor.bench.demo.Site;
+import org.damaskmoor.bench.demo.StoredRefusals;
+import org.damaskmoor.bench.demo.TableServiceApplier;
+import org.damaskmoor.bench.http.BlockingClient;
+
+/**
+ * Books under random kills, freezes, cuts and outages and checks that no promise broke.
+ *
+ * <pre>{@code
+ * damaskmoor-bench soak --bookings 100000 --seed 7 --minutes 10
+ * }</pre>
+ *
+ * <p>Exit codes: 0 when every promise held, 1 when one broke. Used by one thread.
+ */
+@Command(name = "soak", description = "Bookings under a seeded schedule of faults")
+public final class SoakCommand implements Callable<Integer> {
+    private static final Duration CONTROL_TIMEOUT = Duration.ofSeconds(3);
+    private static final double BOOKINGS_PER_SECOND = 150;
+    private static final long PRINT_SECONDS = 10;
+
+    @Option(name = "--bookings", description = "How many bookings are sent, without resends")
+    private int bookings = 2_000;
+
+    @Option(name = "--seed", description = "Seed of load and faults")
+    private long seed = 1;
+
+    @Option(name = "--minutes", description = "Length of the load; 0 for 150 bookings a second")
+    private double minutes;
+
+    @Option(name = "--faults-per-minute", description = "How often something goes wrong")
+    private double faultsPerMinute = 20;
+
+    @Option(name = "--deployment", description = "Whose sizes: bern or cotizar")
+    @AllowedRawValues(allowedValues = {"bern", "cotizar"})
+    private String deployment = "bern";
+
+    @Option(name = "--examples", description = "Directory of the deployments' files")
+    private String examples = "examples";
+
+    @Option(name = "--base-port", description = "First port; 0 for the first free block")
+    private int basePort;
+
+    @Override
+    public Integer call() throws Exception {
+        Path directory = Files.createTempDirectory("damaskmoor-soak-");
+        Progress progress = new Progress(System.out, PRINT_SECONDS);
+        progress.step("deployment " + deployment + ", logs in " + directory);
+        double seconds =
+                minutes > 0
+                        ? minutes * TimeUnit.MINUTES.toSeconds(1)
+                        : bookings / BOOKINGS_PER_SECOND;
+        try (ChildProcesses children = new ChildProcesses(directory);
+                BlockingClient client = new BlockingClient(CONTROL_TIMEOUT)) {
+            return report(
+                    soak(directory, children, client, progress)
+                            .run(seed, bookings, seconds, faultsPerMinute));
+        }
+    }
+
+    private Soak soak(
+            Path directory, ChildProcesses children, BlockingClient client, Progress progress)
+            throws IOException {
+        Deployment sizes = Deployment.read(Path.of(examples, deployment + ".json"));
+        int firstPort = basePort == 0 ? PortBlocks.firstFree(Places.ports(sizes)) : basePort;
+        Site site = new Site(sizes, firstPort, directory, children, client);
+        return new Soak(
+                sizes,
+                site,
+                children,
+                client,
+                new TableServiceApplier(client, site.platformUrl()),
+                new StoredRefusals(client),
+                progress);
+    }
+
+    private static int report(Soak.Result result) {
+        result.broken().forEach(System.out::println);
+        System.out.println("faults=" + result.faults());
+        System.out.println(result.totals().line());
+        return result.broken().isEmpty() ? 0 : 1;
+    }
+}
--- a/bench/src/main/java/org/damaskmoor/bench/upstream/UpstreamServlet.java
+++ b/bench/src/main/java/org/damaskmoor/bench/upstream/UpstreamServlet.java
@@ -33,7 +33,7 @@
     private final ServiceTimes times;
     private final UpstreamFaults faults;
     private final Runnable crash;
-    private final RunLedger ledger = new RunLedger();
+    private final RunLedger ledger;
     private long served;
 
     public UpstreamServlet(
@@ -41,11 +41,13 @@
             Slots slots,
             ServiceTimes times,
             UpstreamFaults faults,
+            RunLedger ledger,
             Runnable crash) {
         this.reactor = reactor;
         this.slots = slots;
         this.times = times;
         this.faults = faults;
+        this.ledger = ledger;
         this.crash = crash;
     }
 
@@ -111,7 +113,8 @@
         served++;
         if (request.getMethod() == HttpMethod.POST) {
             String key = header(request, Fields.IDEMPOTENCY_KEY).orElse(nonce(request));
-            ledger.ran(key, header(request, ATTEMPT).map(Integer::parseInt).orElse(1));
+            int attempt = header(request, ATTEMPT).map(Integer::parseInt).orElse(1);
+            ledger.ran(key, attempt, header(request, Fields.REQUEST_ID).orElse(""));
         }
     }
 
--- a/bench/src/main/java/org/damaskmoor/bench/upstream/UpstreamStandInCommand.java
+++ b/bench/src/main/java/org/damaskmoor/bench/upstream/UpstreamStandInCommand.java
@@ -5,6 +5,7 @@
 import com.github.rvesse.airline.annotations.restrictions.Required;
 import io.activej.eventloop.Eventloop;
 import java.net.URI;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Random;
 import java.util.concurrent.Callable;
@@ -35,6 +36,9 @@
     @Option(name = "--connections", description = "Connections announced")
     private int connections = 250;
 
+    @Option(name = "--ledger-file", description = "File that keeps every run through restarts")
+    private String ledgerFile = "";
+
     @Option(name = "--seed", description = "Seed of the service times")
     private long seed = 1;
 
@@ -62,6 +66,9 @@
                         new Slots(slots),
                         new ServiceTimes(serviceMilliseconds, new Random(seed), coldStart, now),
                         new UpstreamFaults(),
+                        ledgerFile.isEmpty()
+                                ? new RunLedger()
+                                : new RunLedger(new LedgerFile(Path.of(ledgerFile))),
                         () -> Runtime.getRuntime().halt(CRASH_EXIT_CODE));
         if (!controlUrl.isEmpty()) {
             eventLoop.execute(() -> announcer(eventLoop, servlet).start());
--- a/bench/src/test/java/org/damaskmoor/bench/upstream/UpstreamServletTest.java
+++ b/bench/src/test/java/org/damaskmoor/bench/upstream/UpstreamServletTest.java
@@ -32,6 +32,7 @@
                                         new Slots(1),
                                         new ServiceTimes(0, new Random(1), new ColdStart(0, 1), 0),
                                         new UpstreamFaults(),
+                                        new RunLedger(),
                                         () -> {}));
         client = new BlockingClient(Duration.ofSeconds(20));
         url = "http://127.0.0.1:" + server.port();
--- a/bench/src/test/java/org/damaskmoor/bench/verification/InvariantCheckerTest.java
+++ b/bench/src/test/java/org/damaskmoor/bench/verification/InvariantCheckerTest.java
@@ -10,7 +10,7 @@
 
 class InvariantCheckerTest {
     private static CallRecord booking(int attempt, Outcome outcome, String reason) {
-        return new CallRecord("key-1", attempt, true, false, outcome, reason, "", false, 1);
+        return new CallRecord("key-1", attempt, true, false, outcome, reason, "", false, "", 1);
     }
 
     private static List<Kind> kinds(List<UpstreamRuns> runs, CallRecord... records) {
@@ -51,7 +51,8 @@
     @Test
     void should_find_a_crossed_answer_when_a_body_was_not_its_own() {
         CallRecord crossed =
-                new CallRecord("", 1, false, false, Outcome.ANSWERED, "status-200", "", true, 1);
+                new CallRecord(
+                        "", 1, false, false, Outcome.ANSWERED, "status-200", "", true, "", 1);
 
         assertThat(kinds(List.of(), crossed)).containsExactly(Kind.CROSSED_ANSWER);
     }
--- a/bench/src/test/java/org/damaskmoor/bench/verification/TotalsTest.java
+++ b/bench/src/test/java/org/damaskmoor/bench/verification/TotalsTest.java
@@ -12,7 +12,7 @@
     private static final List<CallRecord> ONE_REFUSED =
             List.of(
                     new CallRecord(
-                            "", 1, false, false, Outcome.REFUSED, "queue-full", "r", false, 1));
+                            "", 1, false, false, Outcome.REFUSED, "queue-full", "r", false, "", 1));
 
     private static Totals totals(OptionalLong accounted) {
         return new Totals(List.of(), ONE_REFUSED, List.of(), accounted, OptionalLong.empty());
