Place an unguarded idempotency key alike in all regions

Cause: entry nodes placed a key among the targets of their own region first, so a resend through an entry of the other region went to another target, and ran there a second time while both targets lived. Change: Router.chooseForKey takes a KeyScope; a request whose rule claims the key keeps to its region (the claim stops the second run), all others place the key among all targets. RouterTest failed first: b against d. Left: a target that is lost, or that bounced the first send, still moves the key; only the claim closes that.

--- a/core/src/main/java/org/damaskmoor/core/routing/Router.java
+++ b/core/src/main/java/org/damaskmoor/core/routing/Router.java
@@ -48,8 +48,11 @@
     /**
      * The target for a request with an idempotency key. The same key goes to the same target as
      * long as that target takes new work, whatever other targets come and go.
+     *
+     * @param scope whether entry nodes of other regions choose the same target
      */
-    Optional<Choice> chooseForKey(String key, Set<NodeId> excluded, long nowNanoseconds);
+    Optional<Choice> chooseForKey(
+            String key, KeyScope scope, Set<NodeId> excluded, long nowNanoseconds);
 
     /** An attempt was sent. */
     void onSent(TargetId target, long nowNanoseconds);
--- a/core/src/main/java/org/damaskmoor/core/routing/internal/KeyPlacement.java
+++ b/core/src/main/java/org/damaskmoor/core/routing/internal/KeyPlacement.java
@@ -16,25 +16,28 @@
     /** The target for the key, or null when none takes new work. */
     static TargetState place(TargetState[] targets, long keyHash, Set<NodeId> excluded) {
         TargetState best = null;
-        long greatest = 0;
         for (TargetState target : targets) {
-            if (!target.takesNewWork() || excluded.contains(target.target().id().node())) {
-                continue;
-            }
-            long rank = StableHash.combine(keyHash, target.hash());
-            if (best == null || goesBefore(rank, target, greatest, best)) {
-                best = target;
-                greatest = rank;
+            if (target.takesNewWork() && !excluded.contains(target.target().id().node())) {
+                best = better(best, target, keyHash);
             }
         }
         return best;
     }
 
-    private static boolean goesBefore(
-            long rank, TargetState target, long greatest, TargetState best) {
-        if (rank != greatest) {
-            return Long.compareUnsigned(rank, greatest) > 0;
+    /** The one of two targets, either of which may be null, at which the key has its place. */
+    static TargetState better(TargetState first, TargetState second, long keyHash) {
+        if (first == null || second == null) {
+            return first == null ? second : first;
+        }
+        return goesBefore(second, first, keyHash) ? second : first;
+    }
+
+    private static boolean goesBefore(TargetState target, TargetState other, long keyHash) {
+        long rank = StableHash.combine(keyHash, target.hash());
+        long otherRank = StableHash.combine(keyHash, other.hash());
+        if (rank != otherRank) {
+            return Long.compareUnsigned(rank, otherRank) > 0;
         }
-        return target.target().id().node().compareTo(best.target().id().node()) < 0;
+        return target.target().id().node().compareTo(other.target().id().node()) < 0;
     }
 }
--- a/core/src/main/java/org/damaskmoor/core/routing/internal/ServiceRouter.java
+++ b/core/src/main/java/org/damaskmoor/core/routing/internal/ServiceRouter.java
@@ -19,6 +19,7 @@
 import org.damaskmoor.core.routing.Choice;
 import org.damaskmoor.core.routing.ChoicePolicy;
 import org.damaskmoor.core.routing.Distance;
+import org.damaskmoor.core.routing.KeyScope;
 import org.damaskmoor.core.routing.RequestView;
 import org.damaskmoor.core.routing.Router;
 import org.damaskmoor.core.routing.RoutingOptions;
@@ -93,11 +94,13 @@
     }
 
     @Override
-    public Optional<Choice> chooseForKey(String key, Set<NodeId> excluded, long now) {
+    public Optional<Choice> chooseForKey(
+            String key, KeyScope scope, Set<NodeId> excluded, long now) {
         long keyHash = StableHash.of(key);
         TargetState chosen = KeyPlacement.place(sampler.region(), keyHash, excluded);
-        if (chosen == null) {
-            chosen = KeyPlacement.place(sampler.remote(), keyHash, excluded);
+        if (chosen == null || scope == KeyScope.ALL_REGIONS) {
+            TargetState remote = KeyPlacement.place(sampler.remote(), keyHash, excluded);
+            chosen = KeyPlacement.better(chosen, remote, keyHash);
         }
         return chosen == null ? Optional.empty() : Optional.of(taken(chosen, now));
     }
--- a/core/src/test/java/org/damaskmoor/core/routing/RouterDifferentialTest.java
+++ b/core/src/test/java/org/damaskmoor/core/routing/RouterDifferentialTest.java
@@ -102,7 +102,8 @@
     }
 
     private static Target placed(RouterFixture fixture, String key) {
-        Optional<Choice> choice = fixture.router.chooseForKey(key, Set.of(), fixture.now);
+        Optional<Choice> choice =
+                fixture.router.chooseForKey(key, KeyScope.REGION_FIRST, Set.of(), fixture.now);
         return choice.orElseThrow().target();
     }
 
--- a/core/src/test/java/org/damaskmoor/core/routing/RouterTest.java
+++ b/core/src/test/java/org/damaskmoor/core/routing/RouterTest.java
@@ -7,6 +7,7 @@
 import static org.damaskmoor.core.routing.RouterFixture.NORTH;
 import static org.damaskmoor.core.routing.RouterFixture.REQUEST;
 import static org.damaskmoor.core.routing.RouterFixture.SOUTH;
+import static org.damaskmoor.core.routing.RouterFixture.SPIEZ;
 import static org.damaskmoor.core.routing.RouterFixture.far;
 import static org.damaskmoor.core.routing.RouterFixture.load;
 import static org.damaskmoor.core.routing.RouterFixture.near;
@@ -15,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import org.damaskmoor.core.id.Incarnation;
 import org.damaskmoor.core.id.NodeId;
@@ -319,4 +321,36 @@
         router.onLoadHeard(target.id(), load(inFlight, 5), fixture.now);
         return fixture.shares(CHOICES);
     }
+
+    @Test
+    void should_place_an_unguarded_key_alike_in_all_regions_when_each_has_targets() {
+        // given
+        List<Target> targets = List.of(near("a"), near("b"), far("c"), far("d"));
+        RouterFixture home = RouterFixture.expectedCompletion();
+        Router away =
+                Router.create(
+                        FAR,
+                        SPIEZ,
+                        RoutingOptions.DEFAULT,
+                        ChoicePolicies.expectedCompletion(4),
+                        new Random(1));
+        home.router.updateTargets(targets, home.now);
+        away.updateTargets(targets, home.now);
+
+        for (int i = 0; i < 20; i++) {
+            // when
+            String key = "key-" + i;
+            Choice fromHome = place(home.router, key, KeyScope.ALL_REGIONS, home.now);
+            Choice fromAway = place(away, key, KeyScope.ALL_REGIONS, home.now);
+
+            // then
+            assertThat(fromAway.target()).isEqualTo(fromHome.target());
+            Choice near = place(home.router, key, KeyScope.REGION_FIRST, home.now);
+            assertThat(near.target().region()).isEqualTo(HOME);
+        }
+    }
+
+    private static Choice place(Router router, String key, KeyScope scope, long now) {
+        return router.chooseForKey(key, scope, Set.of(), now).orElseThrow();
+    }
 }
--- a/node/src/main/java/org/damaskmoor/node/internal/entry/EntryExchange.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/EntryExchange.java
@@ -17,6 +17,7 @@
 import org.damaskmoor.core.once.EntryCall;
 import org.damaskmoor.core.retry.DeadlineBudget;
 import org.damaskmoor.core.routing.Choice;
+import org.damaskmoor.core.routing.KeyScope;
 import org.damaskmoor.core.routing.RequestView;
 import org.damaskmoor.core.routing.TargetId;
 import org.damaskmoor.node.internal.http.CallerReply;
@@ -201,7 +202,9 @@
         String key = template.call().getIdempotencyKey();
         boolean byKey = template.call().getNonIdempotent() && !key.isEmpty();
         if (byKey) {
-            return runtime.router().chooseForKey(key, tried, now);
+            KeyScope scope =
+                    template.call().getClaim() ? KeyScope.REGION_FIRST : KeyScope.ALL_REGIONS;
+            return runtime.router().chooseForKey(key, scope, tried, now);
         }
         RequestView view =
                 new RequestView(
