--- a/bench/src/main/java/org/damaskmoor/bench/soak/Soak.java
+++ b/bench/src/main/java/org/damaskmoor/bench/soak/Soak.java
@@ -88,11 +88,11 @@
     private void start() throws IOException, InterruptedException {
         site.startStandIns();
         site.awaitStandIns(START_TIMEOUT_MILLISECONDS);
+        site.startNodes();
+        site.awaitNodes(START_TIMEOUT_MILLISECONDS);
         for (Service service : deployment.services()) {
             applier.apply(service.configuration());
         }
-        site.startNodes();
-        site.awaitNodes(START_TIMEOUT_MILLISECONDS);
         progress.step("nodes are ready: " + site.places().size());
     }
 
--- a/bench/src/main/java/org/damaskmoor/bench/soak/SoakCommand.java
+++ b/bench/src/main/java/org/damaskmoor/bench/soak/SoakCommand.java
@@ -11,12 +11,13 @@
 import java.util.concurrent.TimeUnit;
 import org.damaskmoor.bench.demo.ChildProcesses;
 import org.damaskmoor.bench.demo.Deployment;
+import org.damaskmoor.bench.demo.OperatorServiceApplier;
+import org.damaskmoor.bench.demo.Place;
 import org.damaskmoor.bench.demo.Places;
 import org.damaskmoor.bench.demo.PortBlocks;
 import org.damaskmoor.bench.demo.Progress;
 import org.damaskmoor.bench.demo.Site;
 import org.damaskmoor.bench.demo.StoredRefusals;
-import org.damaskmoor.bench.demo.TableServiceApplier;
 import org.damaskmoor.bench.http.BlockingClient;
 
 /**
@@ -84,7 +85,8 @@
                 site,
                 children,
                 client,
-                new TableServiceApplier(client, site.platformUrl()),
+                new OperatorServiceApplier(
+                        site.places().stream().map(Place::operatorPort).toList()),
                 new StoredRefusals(client),
                 progress);
     }
