Publish a node's own upstream when it is announced

Cause: changes of a node's own record raise no member event, and the directory was published only after one. An entry node didn't see its own upstream, or that it leaves, until another member changed. Seen by: the failure site's start: 206 bookings that entered besuch-3, the only target of its region, were all placed in the other region (site's ledgers); besuch-3 served none in 40 s. Ruled out: gossip (besuch-1 had the changed record), region reachability (no such event). Change: MembershipDuty also publishes when its own record differs from the one last published. MembershipDutyTest failed first (0 targets, expected 1); it and the site's start pass now.

--- a/node/src/main/java/org/damaskmoor/node/internal/members/MembershipDuty.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/members/MembershipDuty.java
@@ -46,6 +46,7 @@
     private List<MemberRecord> members = List.of();
     private List<NodeId> nearestPeers = List.of();
     private boolean changed = true;
+    private MemberRecord publishedSelf = MemberRecord.getDefaultInstance();
     private long nextPublishMilliseconds;
     private long nextJoinMilliseconds;
     private long nextCheckMilliseconds;
@@ -198,10 +199,16 @@
         }
     }
 
+    /** Changes of the own record raise no event. */
+    private boolean isChanged() {
+        return changed || !protocol.self().equals(publishedSelf);
+    }
+
     private void publishIfDue() {
         long now = milliseconds.getAsLong();
-        if (changed && now >= nextPublishMilliseconds) {
+        if (isChanged() && now >= nextPublishMilliseconds) {
             changed = false;
+            publishedSelf = protocol.self();
             nextPublishMilliseconds = now + PUBLISH_MILLISECONDS;
             members = protocol.members();
             nearestPeers = sortByDistance(members);
