Test failures of bookings and of configuration with real processes

Eight tests on two sites of four nodes: kill -9 of the target during a run, its restart before a resend, a target that is stopped and wakes after the resend ran elsewhere, silent connections; two operators at once, platform down with a fresh node, lost answer, region cut. Runs are counted in the ledger files of the upstream stand-ins, which outlast their processes. Tests wait for states; limits are 40 s each.

--- /dev/null
+++ b/bench/src/test/java/org/damaskmoor/bench/failure/BookingFailureTest.java
@@ -0,0 +1,113 @@
+package org.damaskmoor.bench.failure;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.damaskmoor.bench.demo.Place;
+import org.damaskmoor.bench.http.JsonObject;
+import org.damaskmoor.bench.load.CallRecord;
+import org.damaskmoor.bench.load.Outcome;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+@Tag("failure")
+class BookingFailureTest {
+    private static final int SLOW = 200;
+
+    private static FailureSite site;
+    private static Place entry;
+    private static Place target;
+
+    @BeforeAll
+    static void start() throws Exception {
+        site = new FailureSite();
+        entry = site.place("register-1");
+        target = site.place("besuch-2");
+    }
+
+    @AfterAll
+    static void stop() {
+        site.close();
+    }
+
+    @Test
+    void should_answer_unknown_when_the_target_is_killed_during_the_run() throws Exception {
+        // given
+        String nonce = site.nonceFor(target);
+        site.upstreamFaults(target, new JsonObject().with("service_time_factor", SLOW));
+        CompletableFuture<CallRecord> booking =
+                CompletableFuture.supplyAsync(() -> site.book(entry, nonce));
+        FailureSite.await("it runs", () -> site.runsAt(target, nonce) == 1);
+
+        // when
+        site.killNode(target);
+
+        // then
+        assertThat(booking.get(1, TimeUnit.MINUTES).outcome()).isEqualTo(Outcome.UNKNOWN);
+        site.upstreamFaults(target, new JsonObject().with("service_time_factor", 1.0 / SLOW));
+        site.site.startNode(target);
+        site.awaitServing(target);
+        site.book(entry, nonce);
+        assertThat(site.runs(nonce)).isEqualTo(1);
+    }
+
+    @Test
+    void should_not_run_again_when_the_target_restarts_before_the_resend() throws Exception {
+        // given
+        String nonce = site.nonceFor(target);
+        assertThat(site.book(entry, nonce).outcome()).isEqualTo(Outcome.ANSWERED);
+
+        // when
+        site.killNode(target);
+        site.site.startNode(target);
+        site.awaitServing(target);
+        site.book(entry, nonce);
+
+        // then
+        assertThat(site.runs(nonce)).isEqualTo(1);
+    }
+
+    @Test
+    void should_run_once_when_a_frozen_target_wakes_after_the_resend_ran_elsewhere()
+            throws Exception {
+        // given
+        String nonce = site.nonceFor(target);
+        site.children.freeze(target.nodeId());
+        CallRecord first = site.book(entry, nonce);
+        FailureSite.await(
+                "a resend is answered",
+                () -> site.book(entry, nonce).outcome() == Outcome.ANSWERED);
+
+        // when
+        site.children.resume(target.nodeId());
+        site.awaitServing(target);
+
+        // then
+        assertThat(first.outcome()).isEqualTo(Outcome.UNKNOWN);
+        assertThat(site.runs(nonce)).isEqualTo(1);
+        assertThat(site.runsAt(target, nonce)).isEqualTo(0);
+    }
+
+    @Test
+    void should_answer_every_booking_when_open_connections_go_silent() throws Exception {
+        // given
+        site.awaitServing(target);
+        long lost = site.logged(entry, "event=link-lost");
+
+        // when
+        site.links.silence("bern-nord/bern-sued");
+
+        // then
+        FailureSite.await(
+                "the entry node gave the silent connection up",
+                () -> {
+                    String nonce = site.nonceFor(target);
+                    assertThat(site.book(entry, nonce).outcome()).isEqualTo(Outcome.ANSWERED);
+                    assertThat(site.runs(nonce)).isEqualTo(1);
+                    return site.logged(entry, "event=link-lost") > lost;
+                });
+    }
+}
--- /dev/null
+++ b/bench/src/test/java/org/damaskmoor/bench/failure/ConfigurationFailureTest.java
@@ -0,0 +1,159 @@
+package org.damaskmoor.bench.failure;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
+import org.damaskmoor.bench.demo.Place;
+import org.damaskmoor.bench.load.Outcome;
+import org.damaskmoor.operator.ExitCode;
+import org.damaskmoor.operator.OperatorClient;
+import org.damaskmoor.operator.OperatorException;
+import org.damaskmoor.schema.configuration.ServiceConfiguration;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+@Tag("failure")
+class ConfigurationFailureTest {
+    private static final String SERVICE = "register";
+
+    private static FailureSite site;
+    private static Place north;
+    private static Place south;
+    private static Place far;
+
+    @BeforeAll
+    static void start() throws Exception {
+        site = new FailureSite();
+        north = site.place("besuch-1");
+        south = site.place("besuch-2");
+        far = site.place("besuch-3");
+    }
+
+    @AfterAll
+    static void stop() {
+        site.close();
+    }
+
+    @AfterEach
+    void heal() throws Exception {
+        site.platform("none");
+    }
+
+    /** Applies a configuration that differs from all others by the operation's id. */
+    private static long apply(Place place, long expectedVersion, String operationId)
+            throws Exception {
+        ServiceConfiguration configuration =
+                ServiceConfiguration.newBuilder()
+                        .setName(SERVICE)
+                        .addPathPrefixes("/residents")
+                        .addPathPrefixes("/" + operationId)
+                        .build();
+        try (OperatorClient operator = site.operator(place)) {
+            return operator.apply(configuration, expectedVersion, operationId).getVersion();
+        }
+    }
+
+    /** What an operator was told. */
+    private static String told(Place place, long expectedVersion, String operationId) {
+        try {
+            return "accepted " + apply(place, expectedVersion, operationId);
+        } catch (OperatorException refused) {
+            return refused.exitCode().name();
+        } catch (Exception unexpected) {
+            throw new IllegalStateException(unexpected);
+        }
+    }
+
+    @Test
+    void should_accept_one_change_when_two_operators_race() throws Exception {
+        // given
+        long version = site.versionAt(north, SERVICE);
+
+        // when
+        List<CompletableFuture<String>> racers =
+                Stream.of(north, far)
+                        .map(
+                                place ->
+                                        CompletableFuture.supplyAsync(
+                                                () ->
+                                                        told(
+                                                                place,
+                                                                version,
+                                                                "race-" + place.nodeId())))
+                        .toList();
+        List<String> outcomes = racers.stream().map(CompletableFuture::join).toList();
+
+        // then
+        assertThat(outcomes).containsExactly("accepted " + (version + 1), ExitCode.CONFLICT.name());
+        site.awaitVersion(SERVICE, version + 1);
+    }
+
+    @Test
+    void should_refuse_changes_and_serve_on_when_the_platform_is_down() throws Exception {
+        // given
+        long version = site.versionAt(north, SERVICE);
+        site.platform("down");
+
+        // when
+        OperatorException refused =
+                assertThrows(OperatorException.class, () -> apply(north, version, "while-down"));
+        site.killNode(south);
+        site.site.startNode(south);
+        site.awaitReady(south);
+
+        // then
+        assertThat(refused.exitCode()).isEqualTo(ExitCode.NOT_ACCEPTED);
+        assertThat(site.versionAt(south, SERVICE)).isEqualTo(version);
+        assertThat(site.lookUp(north).outcome()).isEqualTo(Outcome.ANSWERED);
+        FailureSite.await(
+                "the fresh node takes callers",
+                () -> site.lookUp(south).outcome() == Outcome.ANSWERED);
+        String nonce = site.nonceFor(north);
+        assertThat(site.book(north, nonce).outcome()).isEqualTo(Outcome.REFUSED);
+        assertThat(site.runs(nonce)).isEqualTo(0);
+    }
+
+    @Test
+    void should_accept_a_change_when_the_answer_to_its_write_is_lost() throws Exception {
+        // given
+        long version = site.versionAt(north, SERVICE);
+        site.platform("lose-answers");
+
+        // when
+        long accepted = apply(north, version, "lost-answer");
+
+        // then
+        assertThat(accepted).isEqualTo(version + 1);
+        assertThat(apply(far, version, "lost-answer")).isEqualTo(accepted);
+        site.awaitVersion(SERVICE, accepted);
+    }
+
+    @Test
+    void should_serve_in_both_regions_when_they_lose_each_other_and_agree_after_healing()
+            throws Exception {
+        // given
+        long version = site.versionAt(north, SERVICE);
+        long unreachable = site.logged(north, "event=member-region-unreachable");
+        site.links.cut("mittelland/oberland");
+        FailureSite.await(
+                "the cut is noticed",
+                () -> site.logged(north, "event=member-region-unreachable") > unreachable);
+
+        // when
+        Outcome lookUpNorth = site.lookUp(north).outcome();
+        Outcome lookUpFar = site.lookUp(far).outcome();
+        long accepted = apply(north, version, "during-cut");
+        site.links.heal("mittelland/oberland");
+
+        // then
+        assertThat(lookUpNorth).isEqualTo(Outcome.ANSWERED);
+        assertThat(lookUpFar).isEqualTo(Outcome.ANSWERED);
+        site.awaitVersion(SERVICE, accepted);
+    }
+}
--- /dev/null
+++ b/bench/src/test/java/org/damaskmoor/bench/failure/FailureSite.java
@@ -0,0 +1,228 @@
+package org.damaskmoor.bench.failure;
+
+import java.io.IOException;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.stream.Stream;
+import org.damaskmoor.bench.demo.ChildProcesses;
+import org.damaskmoor.bench.demo.Deployment;
+import org.damaskmoor.bench.demo.OperatorServiceApplier;
+import org.damaskmoor.bench.demo.Place;
+import org.damaskmoor.bench.demo.Places;
+import org.damaskmoor.bench.demo.PortBlocks;
+import org.damaskmoor.bench.demo.Site;
+import org.damaskmoor.bench.http.BlockingClient;
+import org.damaskmoor.bench.http.JsonObject;
+import org.damaskmoor.bench.load.CallRecord;
+import org.damaskmoor.bench.load.LoadRun;
+import org.damaskmoor.bench.load.Outcome;
+import org.damaskmoor.bench.load.PlannedCall;
+import org.damaskmoor.bench.soak.LinkFaults;
+import org.damaskmoor.core.hash.StableHash;
+import org.damaskmoor.operator.OperatorClient;
+import org.damaskmoor.schema.settings.OperatorSettings;
+
+/**
+ * A small site of real processes for tests of failures: besuch-1 and besuch-2 in mittelland,
+ * besuch-3 in oberland, and register-1 in mittelland as entry node.
+ *
+ * <p>A test waits for states, with limits that are far from what it needs. Used by one thread, but
+ * for {@link #book} and {@link #lookUp}.
+ */
+final class FailureSite implements AutoCloseable {
+    private static final long LIMIT_MILLISECONDS = 40_000;
+    private static final long POLL_MILLISECONDS = 50;
+    private static final Duration CONTROL_TIMEOUT = Duration.ofSeconds(3);
+
+    final ChildProcesses children;
+    final Site site;
+    final LinkFaults links;
+    private final Path directory;
+    private final BlockingClient client = new BlockingClient(CONTROL_TIMEOUT);
+    private int nonces;
+
+    FailureSite() throws Exception {
+        directory = Files.createTempDirectory("damaskmoor-failure-");
+        children = new ChildProcesses(directory);
+        Deployment deployment =
+                Deployment.read(
+                        Path.of(FailureSite.class.getResource("/failure-site.json").toURI()));
+        int firstPort = PortBlocks.firstFree(Places.ports(deployment));
+        site = new Site(deployment, firstPort, directory, children, client);
+        site.startStandIns();
+        site.awaitStandIns(LIMIT_MILLISECONDS);
+        site.startNodes();
+        site.awaitNodes(LIMIT_MILLISECONDS);
+        links = new LinkFaults(site.linkFile());
+        var applier =
+                new OperatorServiceApplier(
+                        site.places().stream().map(Place::operatorPort).toList());
+        for (Deployment.Service service : deployment.services()) {
+            applier.apply(service.configuration());
+        }
+        for (Place place : besuch()) {
+            awaitServing(place);
+        }
+    }
+
+    Place place(String nodeId) {
+        return site.places().stream()
+                .filter(place -> place.nodeId().equals(nodeId))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    List<Place> besuch() {
+        return List.of(place("besuch-1"), place("besuch-2"), place("besuch-3"));
+    }
+
+    /** Waits until the entry node of its region sends bookings to the place and they are run. */
+    void awaitServing(Place place) throws Exception {
+        Place entry = place(place.region().equals("mittelland") ? "register-1" : "besuch-3");
+        await(
+                place.nodeId() + " serves",
+                () -> {
+                    String nonce = nonceFor(place);
+                    return book(entry, nonce).outcome() == Outcome.ANSWERED
+                            && runsAt(place, nonce) == 1;
+                });
+    }
+
+    /** A new nonce whose key has its place at one of the two targets in mittelland. */
+    String nonceFor(Place wanted) {
+        while (true) {
+            String nonce = "n" + ++nonces;
+            long key = StableHash.of("key-" + nonce);
+            Comparator<Place> byRank =
+                    (a, b) ->
+                            Long.compareUnsigned(
+                                    StableHash.combine(key, StableHash.of(a.nodeId())),
+                                    StableHash.combine(key, StableHash.of(b.nodeId())));
+            Place first = Stream.of(place("besuch-1"), place("besuch-2")).max(byRank).orElseThrow();
+            if (!wanted.region().equals("mittelland") || first.equals(wanted)) {
+                return nonce;
+            }
+        }
+    }
+
+    CallRecord book(Place entry, String nonce) {
+        return send(
+                entry, new PlannedCall(0, "staff", true, "/bookings/1", nonce, false, false, 0));
+    }
+
+    CallRecord lookUp(Place entry) {
+        String nonce = "look-up-" + System.nanoTime();
+        return send(entry, new PlannedCall(0, "staff", false, "/visits/1", nonce, false, false, 0));
+    }
+
+    private CallRecord send(Place entry, PlannedCall call) {
+        try {
+            return new LoadRun(List.of(URI.create(entry.entryUrl())), List.of(), sent -> {})
+                    .run(List.of(call))
+                    .get(0);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** How often the booking ran, by the ledgers of all upstreams. */
+    int runs(String nonce) throws IOException {
+        int runs = 0;
+        for (Place place : site.places()) {
+            runs += runsAt(place, nonce);
+        }
+        return runs;
+    }
+
+    int runsAt(Place place, String nonce) throws IOException {
+        Path ledger = site.ledgerFile(place);
+        if (!Files.exists(ledger)) {
+            return 0;
+        }
+        return (int)
+                Files.readAllLines(ledger).stream()
+                        .map(JsonObject::parse)
+                        .filter(line -> line.text("key", "").equals("key-" + nonce))
+                        .count();
+    }
+
+    void upstreamFaults(Place place, JsonObject faults) throws IOException {
+        client.post(place.upstreamUrl() + "/stand-in/faults", faults.toString());
+    }
+
+    void platform(String mode) throws IOException {
+        client.post(
+                site.platformUrl() + "/stand-in/faults",
+                new JsonObject().with("mode", mode).toString());
+    }
+
+    void killNode(Place place) throws InterruptedException {
+        children.kill(place.nodeId());
+        children.awaitEnd(place.nodeId());
+    }
+
+    void awaitReady(Place place) throws Exception {
+        await(
+                place.nodeId() + " is ready",
+                () -> client.get(place.controlUrl() + "/ready").status() == 200);
+    }
+
+    /** How many lines of a node's log hold the text. */
+    long logged(Place place, String text) throws IOException {
+        try (Stream<String> lines = Files.lines(directory.resolve(place.nodeId() + ".log"))) {
+            return lines.filter(line -> line.contains(text)).count();
+        }
+    }
+
+    OperatorClient operator(Place place) throws Exception {
+        return OperatorClient.open(
+                OperatorSettings.newBuilder()
+                        .setNode("127.0.0.1:" + place.operatorPort())
+                        .setTimeoutMilliseconds((int) LIMIT_MILLISECONDS)
+                        .setChangedBy("test")
+                        .build());
+    }
+
+    long versionAt(Place place, String service) throws Exception {
+        try (OperatorClient operator = operator(place)) {
+            return operator.versionInForce(service);
+        }
+    }
+
+    void awaitVersion(String service, long version) throws Exception {
+        for (Place place : site.places()) {
+            await(
+                    place.nodeId() + " holds version " + version,
+                    () -> versionAt(place, service) == version);
+        }
+    }
+
+    static void await(String state, Callable<Boolean> holds) throws Exception {
+        long end = System.currentTimeMillis() + LIMIT_MILLISECONDS;
+        while (!held(holds)) {
+            if (System.currentTimeMillis() > end) {
+                throw new AssertionError("not reached: " + state);
+            }
+            Thread.sleep(POLL_MILLISECONDS);
+        }
+    }
+
+    private static boolean held(Callable<Boolean> holds) throws Exception {
+        try {
+            return holds.call();
+        } catch (IOException notYet) {
+            return false;
+        }
+    }
+
+    @Override
+    public void close() {
+        children.close();
+        client.close();
+    }
+}
