Measure how fast configurations and the leaving of an upstream spread

damaskmoor-bench spread starts a deployment, changes a service through one node after another and polls every node for the version, with the platform up and down right after the acceptance; then lets upstreams leave under load and watches their count of requests.

--- a/bench/src/main/java/org/damaskmoor/bench/BenchMain.java
+++ b/bench/src/main/java/org/damaskmoor/bench/BenchMain.java
@@ -11,6 +11,7 @@
 import org.damaskmoor.bench.link.EmulatedNode;
 import org.damaskmoor.bench.platform.PlatformStandInCommand;
 import org.damaskmoor.bench.soak.SoakCommand;
+import org.damaskmoor.bench.soak.SpreadCommand;
 import org.damaskmoor.bench.upstream.UpstreamStandInCommand;
 import org.damaskmoor.mesh.ChannelCustomizer;
 import org.damaskmoor.node.NodeMain;
@@ -57,6 +58,7 @@
                 .withCommand(DemoCommand.class)
                 .withCommand(LoadCommand.class)
                 .withCommand(SoakCommand.class)
+                .withCommand(SpreadCommand.class)
                 .withCommand(PlatformStandInCommand.class)
                 .withCommand(UpstreamStandInCommand.class)
                 .build();
--- /dev/null
+++ b/bench/src/main/java/org/damaskmoor/bench/soak/Spread.java
@@ -0,0 +1,151 @@
+package org.damaskmoor.bench.soak;
+
+import java.io.IOException;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.damaskmoor.bench.demo.Deployment;
+import org.damaskmoor.bench.demo.Place;
+import org.damaskmoor.bench.demo.Site;
+import org.damaskmoor.bench.http.BlockingClient;
+import org.damaskmoor.bench.http.JsonObject;
+import org.damaskmoor.bench.load.LoadRun;
+import org.damaskmoor.bench.load.PlannedCall;
+import org.damaskmoor.bench.load.Schedule;
+import org.damaskmoor.operator.OperatorClient;
+import org.damaskmoor.operator.OperatorException;
+import org.damaskmoor.schema.configuration.ServiceConfiguration;
+import org.damaskmoor.schema.configuration.VersionedConfiguration;
+
+/**
+ * Measures on a site that runs already how long news takes: an accepted configuration to every
+ * node, and the leaving of an upstream to all who send to it.
+ *
+ * <p>Used by one thread.
+ */
+final class Spread {
+    private static final long POLL_MILLISECONDS = 10;
+    private static final long LIMIT_SECONDS = 60;
+    private static final double LOAD_PER_SECOND = 100;
+    private static final double LOAD_SECONDS = 10;
+    private static final long WARM_UP_MILLISECONDS = 3_000;
+    private static final long WATCH_MILLISECONDS = 5_000;
+
+    private final Deployment deployment;
+    private final Site site;
+    private final BlockingClient client;
+    private final List<OperatorClient> operators;
+
+    /**
+     * @param operators one for each place, in the same order
+     */
+    Spread(
+            Deployment deployment,
+            Site site,
+            BlockingClient client,
+            List<OperatorClient> operators) {
+        this.deployment = deployment;
+        this.site = site;
+        this.client = client;
+        this.operators = List.copyOf(operators);
+    }
+
+    /**
+     * Changes the service and returns the seconds from its acceptance until every node holds it.
+     *
+     * @param number tells this change from all others, and chooses the node that takes it
+     * @param storeDown whether the platform goes down right after the acceptance
+     */
+    double configurationSeconds(String service, int number, boolean storeDown)
+            throws IOException, OperatorException, InterruptedException {
+        OperatorClient operator = operators.get(number % operators.size());
+        VersionedConfiguration held = operator.find(service).orElseThrow();
+        ServiceConfiguration changed =
+                held.getService().toBuilder().addPathPrefixes("/spread-" + number).build();
+        long version = operator.apply(changed, held.getVersion(), "spread-" + number).getVersion();
+        long accepted = System.nanoTime();
+        if (storeDown) {
+            platform("down");
+        }
+        awaitVersion(service, version);
+        double seconds = secondsSince(accepted);
+        platform("none");
+        return seconds;
+    }
+
+    private void awaitVersion(String service, long version)
+            throws IOException, OperatorException, InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_SECONDS);
+        List<OperatorClient> behind = new ArrayList<>(operators);
+        while (true) {
+            for (OperatorClient operator : List.copyOf(behind)) {
+                if (operator.versionInForce(service) >= version) {
+                    behind.remove(operator);
+                }
+            }
+            if (behind.isEmpty()) {
+                return;
+            }
+            if (System.nanoTime() > end) {
+                throw new IOException(behind.size() + " nodes don't hold version " + version);
+            }
+            Thread.sleep(POLL_MILLISECONDS);
+        }
+    }
+
+    /** Lets an upstream leave under load and returns the seconds until its last new request. */
+    double drainSeconds(Place place, long seed) throws IOException, InterruptedException {
+        CompletableFuture<Void> load = CompletableFuture.runAsync(() -> load(seed));
+        Thread.sleep(WARM_UP_MILLISECONDS);
+        upstream(place, new JsonObject().with("state", "leaving"));
+        long left = System.nanoTime();
+        long last = left;
+        double served = served(place);
+        while (System.nanoTime() - left < TimeUnit.MILLISECONDS.toNanos(WATCH_MILLISECONDS)) {
+            double now = served(place);
+            last = now > served ? System.nanoTime() : last;
+            served = now;
+            Thread.sleep(POLL_MILLISECONDS);
+        }
+        load.join();
+        upstream(place, new JsonObject().with("state", "serving"));
+        return (last - left) / (double) TimeUnit.SECONDS.toNanos(1);
+    }
+
+    private void load(long seed) {
+        List<PlannedCall> calls =
+                new Schedule(deployment.requests(), new Random(seed), "spread-" + seed)
+                        .plan(LOAD_PER_SECOND, LOAD_SECONDS).stream()
+                                .filter(call -> !call.direct())
+                                .toList();
+        List<URI> entries = site.places().stream().map(Place::entryUrl).map(URI::create).toList();
+        try {
+            new LoadRun(entries, List.of(), sent -> {}).run(calls);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private double served(Place place) throws IOException {
+        String counters =
+                client.get(place.upstreamUrl() + "/stand-in/counters").body().toStringUtf8();
+        return JsonObject.parse(counters).number("served", 0);
+    }
+
+    private void upstream(Place place, JsonObject faults) throws IOException {
+        client.post(place.upstreamUrl() + "/stand-in/faults", faults.toString());
+    }
+
+    private void platform(String mode) throws IOException {
+        client.post(
+                site.platformUrl() + "/stand-in/faults",
+                new JsonObject().with("mode", mode).toString());
+    }
+
+    private static double secondsSince(long nanoseconds) {
+        return (System.nanoTime() - nanoseconds) / (double) TimeUnit.SECONDS.toNanos(1);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/damaskmoor/bench/soak/SpreadCommand.java
@@ -0,0 +1,104 @@
+package org.damaskmoor.bench.soak;
+
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.AllowedRawValues;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import org.damaskmoor.bench.demo.ChildProcesses;
+import org.damaskmoor.bench.demo.Deployment;
+import org.damaskmoor.bench.demo.OperatorServiceApplier;
+import org.damaskmoor.bench.demo.Place;
+import org.damaskmoor.bench.demo.Places;
+import org.damaskmoor.bench.demo.PortBlocks;
+import org.damaskmoor.bench.demo.Site;
+import org.damaskmoor.bench.http.BlockingClient;
+import org.damaskmoor.operator.OperatorClient;
+import org.damaskmoor.schema.settings.OperatorSettings;
+
+/**
+ * Measures how fast an accepted configuration is in force on every node, with the platform up and
+ * with the platform down right after the acceptance, and how fast a leaving upstream is left alone.
+ *
+ * <p>Used by one thread.
+ */
+@Command(name = "spread", description = "Seconds until news is in force on every node")
+public final class SpreadCommand implements Callable<Integer> {
+    private static final Duration CONTROL_TIMEOUT = Duration.ofSeconds(3);
+    private static final int CALL_TIMEOUT_MILLISECONDS = 10_000;
+    private static final long START_TIMEOUT_MILLISECONDS = 60_000;
+
+    @Option(name = "--deployment", description = "Whose sizes: bern or cotizar")
+    @AllowedRawValues(allowedValues = {"bern", "cotizar"})
+    private String deployment = "bern";
+
+    @Option(name = "--examples", description = "Directory of the deployments' files")
+    private String examples = "examples";
+
+    @Option(name = "--rounds", description = "How often each is measured")
+    private int rounds = 10;
+
+    @Option(name = "--seed", description = "Seed of the load")
+    private long seed = 1;
+
+    @Override
+    public Integer call() throws Exception {
+        Path directory = Files.createTempDirectory("damaskmoor-spread-");
+        Deployment sizes = Deployment.read(Path.of(examples, deployment + ".json"));
+        int firstPort = PortBlocks.firstFree(Places.ports(sizes));
+        try (ChildProcesses children = new ChildProcesses(directory);
+                BlockingClient client = new BlockingClient(CONTROL_TIMEOUT)) {
+            Site site = new Site(sizes, firstPort, directory, children, client);
+            start(sizes, site);
+            List<OperatorClient> operators = new ArrayList<>();
+            for (Place place : site.places()) {
+                operators.add(open(place));
+            }
+            measure(site, sizes, new Spread(sizes, site, client, operators));
+            operators.forEach(OperatorClient::close);
+        }
+        return 0;
+    }
+
+    private static void start(Deployment sizes, Site site) throws Exception {
+        site.startStandIns();
+        site.awaitStandIns(START_TIMEOUT_MILLISECONDS);
+        site.startNodes();
+        site.awaitNodes(START_TIMEOUT_MILLISECONDS);
+        OperatorServiceApplier applier =
+                new OperatorServiceApplier(
+                        site.places().stream().map(Place::operatorPort).toList());
+        for (Deployment.Service service : sizes.services()) {
+            applier.apply(service.configuration());
+        }
+    }
+
+    private void measure(Site site, Deployment sizes, Spread spread) throws Exception {
+        String service = sizes.services().get(0).configuration().getName();
+        for (int round = 0; round < rounds; round++) {
+            print(round, "store_up", spread.configurationSeconds(service, 2 * round, false));
+            print(round, "store_down", spread.configurationSeconds(service, 2 * round + 1, true));
+        }
+        for (int round = 0; round < Math.min(rounds, site.places().size()); round++) {
+            print(round, "drain", spread.drainSeconds(site.places().get(round), seed + round));
+        }
+    }
+
+    private static void print(int round, String what, double seconds) {
+        System.out.printf(Locale.ROOT, "round=%d what=%s seconds=%.3f%n", round, what, seconds);
+    }
+
+    private static OperatorClient open(Place place) throws Exception {
+        return OperatorClient.open(
+                OperatorSettings.newBuilder()
+                        .setNode("127.0.0.1:" + place.operatorPort())
+                        .setTimeoutMilliseconds(CALL_TIMEOUT_MILLISECONDS)
+                        .setChangedBy("bench")
+                        .build());
+    }
+}
