--- a/bench/src/main/java/org/damaskmoor/bench/BenchMain.java
+++ b/bench/src/main/java/org/damaskmoor/bench/BenchMain.java
@@ -10,6 +10,8 @@
 import org.damaskmoor.bench.demo.LoadCommand;
 import org.damaskmoor.bench.link.EmulatedNode;
 import org.damaskmoor.bench.platform.PlatformStandInCommand;
+import org.damaskmoor.bench.soak.SoakCommand;
+import org.damaskmoor.bench.soak.SpreadCommand;
 import org.damaskmoor.bench.upstream.UpstreamStandInCommand;
 import org.damaskmoor.mesh.ChannelCustomizer;
 import org.damaskmoor.node.NodeMain;
@@ -55,6 +57,8 @@
                 .withCommand(CapacityCommand.class)
                 .withCommand(DemoCommand.class)
                 .withCommand(LoadCommand.class)
+                .withCommand(SoakCommand.class)
+                .withCommand(SpreadCommand.class)
                 .withCommand(PlatformStandInCommand.class)
                 .withCommand(UpstreamStandInCommand.class)
                 .build();
--- a/bench/src/main/java/org/damaskmoor/bench/demo/OperatorServiceApplier.java
+++ b/bench/src/main/java/org/damaskmoor/bench/demo/OperatorServiceApplier.java
@@ -14,7 +14,7 @@
  *
  * <p>Not thread safe.
  */
-final class OperatorServiceApplier implements ServiceApplier {
+public final class OperatorServiceApplier implements ServiceApplier {
     private static final int CALL_TIMEOUT_MILLISECONDS = 5_000;
     private static final long IN_FORCE_TIMEOUT_MILLISECONDS = 13_000;
     private static final long POLL_MILLISECONDS = 50;
@@ -23,7 +23,7 @@
     private int next;
 
     /** Applies through the operator ports of these nodes, in turn. */
-    OperatorServiceApplier(List<Integer> operatorPorts) {
+    public OperatorServiceApplier(List<Integer> operatorPorts) {
         this.operatorPorts = List.copyOf(operatorPorts);
     }
 
