--- /dev/null
+++ b/node/src/main/java/org/damaskmoor/node/internal/stop/PlannedStop.java
@@ -0,0 +1,70 @@
+package org.damaskmoor.node.internal.stop;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * Stops a node so that no request in flight is cut off: bounces new calls, finishes what is open,
+ * writes what is accounted, tells the other nodes, closes the ports.
+ *
+ * <p>Thread-safe. Invariant: each step begins when the one before has ended or its time is over.
+ */
+public final class PlannedStop {
+    /** Time for other nodes to hear that this one leaves, before ports close. */
+    private static final long NOTICE_MILLISECONDS = 1_000;
+
+    private static final long IDLE_CHECK_MILLISECONDS = 20;
+
+    private final StopSteps steps;
+    private final long drainMilliseconds;
+    private final LongSupplier milliseconds;
+
+    /**
+     * A stop that has not begun.
+     *
+     * @param steps what to do
+     * @param drainMilliseconds longest time for requests in flight
+     * @param milliseconds a monotonic clock
+     */
+    public PlannedStop(StopSteps steps, long drainMilliseconds, LongSupplier milliseconds) {
+        this.steps = steps;
+        this.drainMilliseconds = drainMilliseconds;
+        this.milliseconds = milliseconds;
+    }
+
+    /** Runs all steps; completes when the ports are closed. */
+    public CompletableFuture<Void> run() {
+        long deadline = milliseconds.getAsLong() + drainMilliseconds;
+        steps.drainTarget().run();
+        return after(NOTICE_MILLISECONDS)
+                .thenCompose(noticed -> steps.closeEntry().get())
+                .thenCompose(closed -> whenTargetIdle(deadline))
+                .thenCompose(idle -> flush(deadline))
+                .thenCompose(flushed -> steps.leave().get())
+                .thenCompose(told -> after(NOTICE_MILLISECONDS))
+                .thenCompose(noticed -> steps.closePorts().get());
+    }
+
+    private CompletableFuture<Void> flush(long deadline) {
+        return steps.flushAccounts().apply(Math.max(0, deadline - milliseconds.getAsLong()));
+    }
+
+    private CompletableFuture<Void> whenTargetIdle(long deadline) {
+        return steps.targetIdle()
+                .get()
+                .thenCompose(
+                        idle ->
+                                idle || milliseconds.getAsLong() >= deadline
+                                        ? CompletableFuture.completedFuture(null)
+                                        : after(IDLE_CHECK_MILLISECONDS)
+                                                .thenCompose(waited -> whenTargetIdle(deadline)));
+    }
+
+    private static CompletableFuture<Void> after(long delayMilliseconds) {
+        Executor later =
+                CompletableFuture.delayedExecutor(delayMilliseconds, TimeUnit.MILLISECONDS);
+        return CompletableFuture.runAsync(() -> {}, later);
+    }
+}
--- a/node/src/main/java/org/damaskmoor/node/internal/target/HttpUpstreamClient.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/target/HttpUpstreamClient.java
@@ -84,7 +84,7 @@
         if (connectFailures.remove(request)) {
             return new UpstreamOutcome.NotRun(true, false);
         }
-        return new UpstreamOutcome.Failed(String.valueOf(exception));
+        return new UpstreamOutcome.Failed(String.valueOf(exception), true);
     }
 
     /** The library takes the length in an answer to HEAD for that of a body, which never comes. */
@@ -163,7 +163,7 @@
         }
 
         void expire() {
-            accept(new UpstreamOutcome.Failed("no answer before the deadline"));
+            accept(new UpstreamOutcome.Failed("no answer before the deadline", false));
         }
 
         void accept(UpstreamOutcome outcome) {
--- a/node/src/main/java/org/damaskmoor/node/internal/target/TargetDuty.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/target/TargetDuty.java
@@ -53,6 +53,7 @@
     private final TargetDispatcher dispatcher;
     private final BoundedMailbox<Received> mailbox;
     private final Consumer<UpstreamStatus> onStatus;
+    private final CrashWatch crashes;
     private volatile LoadReport lastLoad = LoadReport.getDefaultInstance();
     private volatile boolean draining;
     private UpstreamStatus lastStatus =
@@ -67,6 +68,7 @@
      * @param clock the monotonic clock, in nanoseconds
      * @param epochMilliseconds the wall clock
      * @param claims claims idempotency keys
+     * @param crashes watches for crashes of the upstream
      * @param onStatus told of each change of the upstream's state, on the upstream event loop
      */
     public TargetDuty(
@@ -76,10 +78,12 @@
             LongSupplier clock,
             LongSupplier epochMilliseconds,
             ClaimService claims,
+            CrashWatch crashes,
             Consumer<UpstreamStatus> onStatus) {
         this.loop = loop;
         this.clock = clock;
         this.onStatus = onStatus;
+        this.crashes = crashes;
         this.defaultQueueLimit = limits.queueLimit();
         this.registration = new UpstreamRegistration(limits.announcementLeaseMilliseconds());
         this.admission =
@@ -95,6 +99,7 @@
                         registration,
                         new HttpUpstreamClient(loop.loop(), limits.maximumBodyBytes()),
                         claims,
+                        crashes,
                         new TargetTiming(
                                 clock, epochMilliseconds, limits.keyRetentionMilliseconds()));
         this.mailbox = new BoundedMailbox<>(RING_FRAMES, loop::execute, this::take, () -> {});
@@ -129,6 +134,7 @@
     public void announce(Announcement announcement) {
         loop.execute(
                 () -> {
+                    crashes.onAnnounced(announcement.state());
                     registration.announce(announcement, clock.getAsLong());
                     admission.onUpstream(
                             announcement.state(), announcement.slots(), announcement.connections());
@@ -166,6 +172,7 @@
         long now = clock.getAsLong();
         if (registration.expire(now)) {
             logger.atWarning().log("event=upstream-absent step=announcement-lease peer=upstream");
+            crashes.onLapsed();
             admission.onUpstream(UpstreamState.ABSENT, 0, 0);
             publishStatus();
         }
