--- a/node/src/main/java/org/damaskmoor/node/NodeProcess.java
+++ b/node/src/main/java/org/damaskmoor/node/NodeProcess.java
@@ -174,6 +174,16 @@
         return configuration.isReady() && !stopping;
     }
 
+    /** The members that this node knows of. */
+    public MemberDirectory members() {
+        return members;
+    }
+
+    /** Crashes of upstreams that this node knows of and that still count. */
+    public int crashRecords() {
+        return crashes.records();
+    }
+
     /** Requests of callers at this node that wait for their reply. */
     public int openRequests() {
         return entry.openRequests();
--- /dev/null
+++ b/node/src/test/java/org/damaskmoor/node/QuarantineTest.java
@@ -0,0 +1,61 @@
+package org.damaskmoor.node;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.sun.net.httpserver.HttpExchange;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
+import org.damaskmoor.node.fixture.FakeUpstream;
+import org.damaskmoor.node.fixture.Group;
+import org.damaskmoor.node.fixture.TestNode;
+import org.junit.jupiter.api.Test;
+
+final class QuarantineTest {
+    private static final String POISON = "POST /bookings?poison";
+
+    private final AtomicReference<List<Group.Pair>> pairs = new AtomicReference<>(List.of());
+
+    private void serve(HttpExchange exchange) throws IOException {
+        boolean poison = "poison".equals(exchange.getRequestURI().getQuery());
+        if (poison) {
+            int port = exchange.getLocalAddress().getPort();
+            pairs.get().stream()
+                    .map(Group.Pair::upstream)
+                    .filter(upstream -> upstream.port() == port)
+                    .forEach(FakeUpstream::crash);
+        } else {
+            FakeUpstream.answer(exchange, "done");
+        }
+    }
+
+    @Test
+    void should_refuse_only_the_request_that_was_in_flight_when_two_upstreams_crashed()
+            throws IOException {
+        // given
+        try (Group group =
+                new Group(
+                        this::serve, settings -> settings.setAnnouncementLeaseMilliseconds(500))) {
+            pairs.set(List.of(group.add(1), group.add(2), group.add(3)));
+            TestNode entry = pairs.get().get(0).node();
+
+            // when
+            for (int crashes = 1; crashes <= 2; crashes++) {
+                int expected = crashes;
+                assertThat(Group.ask(entry, POISON)).contains("Damaskmoor-Outcome: unknown");
+                pairs.get()
+                        .forEach(
+                                pair ->
+                                        TestNode.await(
+                                                "crashes are known",
+                                                () ->
+                                                        pair.node().process.crashRecords()
+                                                                >= expected));
+            }
+
+            // then
+            assertThat(Group.ask(entry, POISON)).contains("\"reason\":\"quarantined\"");
+            assertThat(Group.ask(entry, "POST /bookings")).endsWith("\r\n\r\ndone");
+        }
+    }
+}
