--- a/node/src/main/java/org/damaskmoor/node/NodeProcess.java
+++ b/node/src/main/java/org/damaskmoor/node/NodeProcess.java
@@ -37,6 +37,8 @@
 import org.damaskmoor.node.internal.mesh.FrameRouter;
 import org.damaskmoor.node.internal.mesh.SelfLink;
 import org.damaskmoor.node.internal.metrics.MetricsText;
+import org.damaskmoor.node.internal.metrics.NodeGauges;
+import org.damaskmoor.node.internal.metrics.NodeMetric;
 import org.damaskmoor.node.internal.metrics.NodeMetrics;
 import org.damaskmoor.node.internal.operator.OperatorParts;
 import org.damaskmoor.node.internal.operator.OperatorServer;
@@ -157,6 +159,7 @@
                         target::drain,
                         new MetricsText(metrics));
         operators = operatorServer(serviceTable);
+        registerGauges();
     }
 
     /** Opens all ports and joins the other nodes; completes when the ports are open. */
@@ -248,6 +251,15 @@
                 "event=node-started node=%s http_port=%d", self, settings.getHttpPort());
     }
 
+    private void registerGauges() {
+        new NodeGauges(metrics)
+                .add(NodeMetric.OPEN_REQUESTS, entry::openRequests)
+                .add(NodeMetric.CRASHES, crashes::records)
+                .addLoad(target::lastLoad)
+                .addMembers(members::count)
+                .addGossip(gossip.traffic());
+    }
+
     private CrashWatch crashes() {
         return crashes;
     }
@@ -283,7 +295,12 @@
                 (link, frame) -> controlLoop.execute(() -> configuration.onFrame(link, frame)),
                 (link, frame) -> accounting().onFrame(link, frame),
                 this::onUnsent,
-                (peer, lastUsed) -> entry.onLinkLost(peer, lastUsed));
+                this::onLinkLost);
+    }
+
+    private void onLinkLost(NodeId peer, long lastUsedNanoseconds) {
+        metrics.counter(NodeMetric.LOST_LINKS.metricName()).inc();
+        entry.onLinkLost(peer, lastUsedNanoseconds);
     }
 
     private void onEntryFrame(MeshLink link, MeshFrame frame) {
@@ -296,6 +313,7 @@
 
     private void onTargetFrame(MeshLink link, MeshFrame frame) {
         if (!target.offer(link, frame)) {
+            metrics.counter(NodeMetric.DROPPED_FRAMES.metricName()).inc();
             logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
                     "event=frame-dropped step=enqueue peer=%s reason=ring-full", link.peer());
         }
--- a/node/src/main/java/org/damaskmoor/node/internal/http/CallerSocket.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/http/CallerSocket.java
@@ -44,6 +44,8 @@
     private Runnable onMalformed = () -> {};
     private boolean bodyWanted;
     private boolean omitsLength;
+    private boolean inputEnded;
+    private boolean replied;
 
     CallerSocket(Eventloop loop, ITcpSocket socket, Runnable onClosed) {
         this.loop = loop;
@@ -100,7 +102,7 @@
         loop.delay(LINGER, this::closeBelow);
         socket.write(ByteBuf.wrapForReading(reply))
                 .then(() -> socket.write(null))
-                .whenResult(this::drain)
+                .whenResult(this::replied)
                 .whenException(this::closeBelow);
     }
 
@@ -197,22 +199,30 @@
             promise.setException(closed());
         }
         if (ahead != null) {
+            inputEnded |= ahead.isResult() && ahead.getResult() == null;
             ahead.whenResult(CallerSocket::recycle);
             ahead = null;
         }
     }
 
+    private void replied() {
+        replied = true;
+        drain();
+    }
+
+    /** Reads what still comes, so that closing does not take the reply from the caller. */
     private void drain() {
-        if (state == State.REFUSING && !reading) {
+        if (inputEnded) {
+            closeBelow();
+        } else if (state == State.REFUSING && !reading) {
             startReading();
         }
     }
 
     private void dropped(ByteBuf buffer) {
         recycle(buffer);
-        if (buffer == null) {
-            closeBelow();
-        } else {
+        inputEnded |= buffer == null;
+        if (replied || state != State.REFUSING) {
             drain();
         }
     }
--- a/node/src/main/java/org/damaskmoor/node/internal/members/MemberDirectory.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/members/MemberDirectory.java
@@ -44,6 +44,13 @@
         snapshot = new Snapshot(byNode, byService);
     }
 
+    /** Members in the state. */
+    public long count(MemberState state) {
+        return snapshot.byNode().values().stream()
+                .filter(member -> member.getState() == state)
+                .count();
+    }
+
     /** Where the mesh port of a member is. */
     public Optional<MeshPeer> peer(NodeId node) {
         return Optional.ofNullable(snapshot.byNode().get(node)).map(MemberDirectory::meshPeer);
--- a/node/src/main/java/org/damaskmoor/node/internal/metrics/MetricsText.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/metrics/MetricsText.java
@@ -3,10 +3,12 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricFilter;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Snapshot;
 import com.codahale.metrics.Timer;
 import com.google.gson.JsonObject;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
@@ -27,13 +29,28 @@
     /** The metrics in Prometheus' text format; times in seconds. */
     public String prometheus() {
         StringBuilder text = new StringBuilder();
-        registry.getCounters().forEach((name, counter) -> line(text, name, counter.getCount()));
-        registry.getMeters().forEach((name, meter) -> line(text, name, meter.getCount()));
-        registry.getGauges().forEach((name, gauge) -> line(text, name, gauge.getValue()));
-        registry.getTimers().forEach((name, timer) -> timer(text, name, timer));
+        for (NodeMetric metric : NodeMetric.values()) {
+            text.append("# HELP ").append(metric.metricName()).append(' ');
+            text.append(metric.meaning()).append("\n# TYPE ").append(metric.metricName());
+            text.append(' ').append(metric.kind().name().toLowerCase(Locale.ROOT)).append('\n');
+            values(text, metric);
+        }
         return text.toString();
     }
 
+    private void values(StringBuilder text, NodeMetric metric) {
+        MetricFilter ofMetric = (name, each) -> isOf(metric, name);
+        registry.getCounters(ofMetric)
+                .forEach((name, counter) -> line(text, name, counter.getCount()));
+        registry.getGauges(ofMetric).forEach((name, gauge) -> line(text, name, gauge.getValue()));
+        registry.getTimers(ofMetric).forEach((name, timer) -> timer(text, name, timer));
+    }
+
+    private static boolean isOf(NodeMetric metric, String name) {
+        int labels = name.indexOf('{');
+        return metric.metricName().equals(labels < 0 ? name : name.substring(0, labels));
+    }
+
     /** The metrics as one JSON object; times in seconds. */
     public String json() {
         JsonObject json = new JsonObject();
--- /dev/null
+++ b/node/src/main/java/org/damaskmoor/node/internal/metrics/NodeGauges.java
@@ -0,0 +1,54 @@
+package org.damaskmoor.node.internal.metrics;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import java.util.Locale;
+import java.util.function.Supplier;
+import org.damaskmoor.mesh.gossip.GossipTraffic;
+import org.damaskmoor.schema.gossip.GossipMessage.BodyCase;
+import org.damaskmoor.schema.gossip.MemberState;
+import org.damaskmoor.schema.mesh.LoadReport;
+
+/** Registers what is read when the metrics are asked for. Thread-safe. */
+public final class NodeGauges {
+    private final MetricRegistry registry;
+
+    public NodeGauges(MetricRegistry registry) {
+        this.registry = registry;
+    }
+
+    /** A value without label. */
+    public NodeGauges add(NodeMetric metric, Supplier<? extends Number> value) {
+        register(metric.metricName(), value);
+        return this;
+    }
+
+    /** The load of the upstream beside this node. */
+    public NodeGauges addLoad(Supplier<LoadReport> load) {
+        add(NodeMetric.UPSTREAM_IN_FLIGHT, () -> load.get().getInFlight());
+        add(NodeMetric.UPSTREAM_QUEUED, () -> load.get().getQueued());
+        return add(NodeMetric.UPSTREAM_LIMIT, () -> load.get().getLimit());
+    }
+
+    /** Known nodes by state. */
+    public NodeGauges addMembers(java.util.function.ToLongFunction<MemberState> count) {
+        for (MemberState state : new MemberState[] {MemberState.ALIVE, MemberState.SUSPECT}) {
+            String name = state.name().toLowerCase(Locale.ROOT);
+            register(NodeMetric.MEMBERS.with("state", name), () -> count.applyAsLong(state));
+        }
+        return this;
+    }
+
+    /** Bytes of gossip by kind of message. */
+    public NodeGauges addGossip(GossipTraffic traffic) {
+        for (BodyCase kind : BodyCase.values()) {
+            String name = kind.name().toLowerCase(Locale.ROOT).replace('_', '-');
+            register(NodeMetric.GOSSIP_SENT.with("kind", name), () -> traffic.sentBytes(kind));
+        }
+        return this;
+    }
+
+    private void register(String name, Supplier<? extends Number> value) {
+        registry.register(name, (Gauge<Number>) value::get);
+    }
+}
--- a/node/src/main/java/org/damaskmoor/node/internal/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/metrics/NodeMetrics.java
@@ -29,19 +29,14 @@
 
     @Override
     public void onAnswered(CallTemplate template, int status) {
-        registry.counter("damaskmoor_requests_answered_total").inc();
-        registry.timer("damaskmoor_request_seconds")
+        registry.counter(NodeMetric.ANSWERED.metricName()).inc();
+        registry.timer(NodeMetric.REQUEST_SECONDS.metricName())
                 .update(clock.getAsLong() - template.arrivalNanoseconds(), TimeUnit.NANOSECONDS);
     }
 
     @Override
     public void onRefused(CallTemplate template, RefusalReason reason) {
-        registry.counter("damaskmoor_requests_refused_total").inc();
-        registry.counter(
-                        "damaskmoor_requests_refused_total{reason=\""
-                                + OutcomeReplies.wireName(reason)
-                                + "\"}")
-                .inc();
+        registry.counter(NodeMetric.REFUSED.with("reason", OutcomeReplies.wireName(reason))).inc();
         logger.atInfo().log(
                 "event=request-refused service=%s caller=%s reason=%s",
                 template.service(), template.caller(), OutcomeReplies.wireName(reason));
@@ -49,7 +44,7 @@
 
     @Override
     public void onUnknown(CallTemplate template, CallStep step, NodeId peer) {
-        registry.counter("damaskmoor_requests_unknown_total").inc();
+        registry.counter(NodeMetric.UNKNOWN.metricName()).inc();
         logger.atWarning().log(
                 "event=request-unknown service=%s caller=%s step=%s peer=%s",
                 template.service(), template.caller(), step.wireName(), peer);
--- a/node/src/test/java/org/damaskmoor/node/internal/target/TargetDispatcherClaimTest.java
+++ b/node/src/test/java/org/damaskmoor/node/internal/target/TargetDispatcherClaimTest.java
@@ -59,6 +59,7 @@
                 upstream,
                 (address, call, remaining, whenDone) -> runs.add(whenDone),
                 new RecordingClaims(),
+                new CrashWatch(new NodeId("b"), new Incarnation(1), () -> 0, record -> {}),
                 new TargetTiming(() -> 0, () -> NOW_MILLISECONDS, 0));
     }
 
@@ -105,7 +106,7 @@
                     .get(0)
                     .accept(
                             ran
-                                    ? new UpstreamOutcome.Failed("connection reset")
+                                    ? new UpstreamOutcome.Failed("connection reset", true)
                                     : new UpstreamOutcome.NotRun(true, false));
 
             // then
