--- a/node/src/main/java/org/damaskmoor/node/internal/target/CallRefusal.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/target/CallRefusal.java
@@ -10,6 +10,10 @@
  * @param refusedBelow whether a node further down refused, so that levels above don't retry
  */
 record CallRefusal(RefusalReason reason, int retryAfterMilliseconds, boolean refusedBelow) {
+    static CallRefusal quarantined(int retryAfterMilliseconds) {
+        return new CallRefusal(RefusalReason.QUARANTINED, retryAfterMilliseconds, false);
+    }
+
     static CallRefusal of(RefusalReason reason) {
         return new CallRefusal(reason, 0, false);
     }
--- a/node/src/main/java/org/damaskmoor/node/internal/target/TargetDuty.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/target/TargetDuty.java
@@ -59,6 +59,7 @@
     private final TargetDispatcher dispatcher;
     private final BoundedMailbox<Received> mailbox;
     private final Consumer<UpstreamStatus> onStatus;
+    private final CrashWatch crashes;
     private volatile LoadReport lastLoad = LoadReport.getDefaultInstance();
     private volatile boolean draining;
     private boolean busyTickPending;
@@ -74,6 +75,7 @@
      * @param clock the monotonic clock, in nanoseconds
      * @param epochMilliseconds the wall clock
      * @param claims claims idempotency keys
+     * @param crashes watches for crashes of the upstream
      * @param onStatus told of each change of the upstream's state, on the upstream event loop
      */
     public TargetDuty(
@@ -83,10 +85,12 @@
             LongSupplier clock,
             LongSupplier epochMilliseconds,
             ClaimService claims,
+            CrashWatch crashes,
             Consumer<UpstreamStatus> onStatus) {
         this.loop = loop;
         this.clock = clock;
         this.onStatus = onStatus;
+        this.crashes = crashes;
         this.defaultQueueLimit = limits.queueLimit();
         this.registration = new UpstreamRegistration(limits.announcementLeaseMilliseconds());
         this.admission =
@@ -102,6 +106,7 @@
                         registration,
                         new HttpUpstreamClient(loop.loop(), limits.maximumBodyBytes()),
                         claims,
+                        crashes,
                         new TargetTiming(
                                 clock, epochMilliseconds, limits.keyRetentionMilliseconds()));
         this.mailbox = new BoundedMailbox<>(RING_FRAMES, loop::execute, this::take, () -> {});
@@ -136,6 +141,7 @@
     public void announce(Announcement announcement) {
         loop.execute(
                 () -> {
+                    crashes.onAnnounced(announcement.state());
                     registration.announce(announcement, clock.getAsLong());
                     admission.onUpstream(
                             announcement.state(), announcement.slots(), announcement.connections());
@@ -188,6 +194,7 @@
         long now = clock.getAsLong();
         if (registration.expire(now)) {
             logger.atWarning().log("event=upstream-absent step=announcement-lease peer=upstream");
+            crashes.onLapsed();
             admission.onUpstream(UpstreamState.ABSENT, 0, 0);
             publishStatus();
         }
