Join through a peer that looks for a node's former start

Ruled out: the probing of dead members (its ping came every 10 s). Change: a ping of an unknown node is taken for a first peer while this node has not joined. Test: MembershipProtocolTest.should_join_through_a_peer_that_looks_for_its_former_start... fails before, passes after.

--- a/core/src/main/java/org/damaskmoor/core/membership/internal/Joiner.java
+++ b/core/src/main/java/org/damaskmoor/core/membership/internal/Joiner.java
@@ -49,6 +49,16 @@
         }
     }
 
+    /**
+     * A node that is not known here asks for this one: when no join point could be read, it is the
+     * first peer.
+     */
+    void joinThrough(InetSocketAddress address, long nowMilliseconds) {
+        if (!joined && !joining) {
+            join(List.of(address), nowMilliseconds);
+        }
+    }
+
     void tick(long nowMilliseconds) {
         if (joining && nowMilliseconds >= deadlineMilliseconds) {
             peer = (peer + 1) % peers.size();
--- a/core/src/main/java/org/damaskmoor/core/membership/internal/Protocol.java
+++ b/core/src/main/java/org/damaskmoor/core/membership/internal/Protocol.java
@@ -136,6 +136,9 @@
         }
         takeNews(message, sender, nowMilliseconds);
         takeBody(message, from, sender, nowMilliseconds);
+        if (sender == null && message.hasPing()) {
+            joiner.joinThrough(from, nowMilliseconds);
+        }
     }
 
     private void takeNews(GossipMessage message, Member sender, long nowMilliseconds) {
--- a/core/src/test/java/org/damaskmoor/core/membership/FakeGroup.java
+++ b/core/src/test/java/org/damaskmoor/core/membership/FakeGroup.java
@@ -97,6 +97,19 @@
     }
 
     FakeMember add(String id, String region, long incarnation) {
+        List<InetSocketAddress> peers =
+                members.values().stream()
+                        .filter(each -> !each.record.getNodeId().equals(id))
+                        .limit(2)
+                        .map(FakeGroup::addressOf)
+                        .toList();
+        FakeMember member = addWithoutJoinPoints(id, region, incarnation);
+        member.protocol.join(peers, now);
+        return member;
+    }
+
+    /** A node that found no first peer, because the table service is down. */
+    FakeMember addWithoutJoinPoints(String id, String region, long incarnation) {
         int port = 10_000 + Math.abs(id.hashCode() % 50_000);
         MemberRecord record =
                 MemberRecord.newBuilder()
@@ -110,14 +123,7 @@
                         .setService("besuch")
                         .build();
         FakeMember member = new FakeMember(record);
-        List<InetSocketAddress> peers =
-                members.values().stream()
-                        .filter(each -> !each.record.getNodeId().equals(id))
-                        .limit(2)
-                        .map(FakeGroup::addressOf)
-                        .toList();
         members.put(id, member);
-        member.protocol.join(peers, now);
         return member;
     }
 
--- a/core/src/test/java/org/damaskmoor/core/membership/MembershipProtocolTest.java
+++ b/core/src/test/java/org/damaskmoor/core/membership/MembershipProtocolTest.java
@@ -122,6 +122,22 @@
         }
     }
 
+    @Test
+    void should_join_through_a_peer_that_looks_for_its_former_start_when_no_join_point_is_known() {
+        // given
+        givenTwoRegions();
+        group.members.remove("oberland-2");
+        group.run(60 * SECOND);
+
+        // when
+        FakeMember fresh = group.addWithoutJoinPoints("oberland-2", "oberland", 2);
+        group.run(15 * SECOND);
+
+        // then
+        assertThat(fresh.protocol.isJoined()).isTrue();
+        assertEveryoneSeesEveryone(group);
+    }
+
     private static long incarnationAt(FakeMember observer) {
         return observer.protocol.members().stream()
                 .filter(record -> record.getNodeId().equals("oberland-2"))
