--- a/node/src/main/java/org/damaskmoor/node/internal/target/TargetDispatcher.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/target/TargetDispatcher.java
@@ -49,6 +49,7 @@
     private final UpstreamRegistration upstream;
     private final UpstreamClient client;
     private final HeldClaims claims;
+    private final CrashWatch crashes;
     private final TargetTiming timing;
     private final Map<RequestId, OpenCall> open = new HashMap<>();
     private final Waiters waiters;
@@ -59,12 +60,14 @@
             UpstreamRegistration upstream,
             UpstreamClient client,
             ClaimService claims,
+            CrashWatch crashes,
             TargetTiming timing) {
         this.ledger = ledger;
         this.admission = admission;
         this.upstream = upstream;
         this.client = client;
         this.claims = new HeldClaims(claims);
+        this.crashes = crashes;
         this.timing = timing;
         this.waiters = new Waiters(() -> admission.loadReport(timing.now()));
     }
@@ -140,8 +143,11 @@
         open.put(id, opened);
         waiters.add(waiter);
         waiter.link().send(TargetFrames.accepted(waiter));
+        Optional<CallRefusal> quarantined = crashes.refusal(call);
         if (!upstream.serves(call.getService())) {
-            refuse(id, CallRefusal.of(RefusalReason.NO_UPSTREAM));
+            refuse(id, CallRefusal.of(RefusalReason.UPSTREAM_UNREACHABLE));
+        } else if (quarantined.isPresent()) {
+            refuse(id, quarantined.get());
         } else if (HeldClaims.isNeeded(call)) {
             claims.claim(opened, claim -> onClaim(id, claim));
         } else {
@@ -206,6 +212,7 @@
             onOutcome(call, started, new UpstreamOutcome.NotRun(true, false));
             return;
         }
+        crashes.onHandOver(call.id(), call.call());
         client.send(
                 address.get(),
                 call.call(),
@@ -214,6 +221,7 @@
     }
 
     private void onOutcome(OpenCall call, long started, UpstreamOutcome outcome) {
+        crashes.onOutcome(call.id(), outcome);
         if (outcome instanceof UpstreamOutcome.Answered answered) {
             onAnswered(call, started, answered.answer());
         } else if (outcome instanceof UpstreamOutcome.NotRun notRun) {
--- a/node/src/main/java/org/damaskmoor/node/internal/target/TargetDuty.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/target/TargetDuty.java
@@ -28,7 +28,13 @@
 public final class TargetDuty {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int RING_FRAMES = 16_384;
-    private static final long TICK_MILLISECONDS = 2;
+
+    /** Pause between looks at what waits, while anything does. */
+    private static final long BUSY_TICK_MILLISECONDS = 2;
+
+    /** Pause between looks at the announcement's lease and the ledger. */
+    private static final long IDLE_TICK_MILLISECONDS = 50;
+
     private static final int LEDGER_ENTRIES = 65_536;
     private static final long LEDGER_ANSWER_BYTES = 8 * 1024 * 1024;
     private static final int LEDGER_FENCES = 4_096;
@@ -53,8 +59,10 @@
     private final TargetDispatcher dispatcher;
     private final BoundedMailbox<Received> mailbox;
     private final Consumer<UpstreamStatus> onStatus;
+    private final CrashWatch crashes;
     private volatile LoadReport lastLoad = LoadReport.getDefaultInstance();
     private volatile boolean draining;
+    private boolean busyTickPending;
     private UpstreamStatus lastStatus =
             new UpstreamStatus(Optional.empty(), UpstreamState.ABSENT, 0);
 
@@ -67,6 +75,7 @@
      * @param clock the monotonic clock, in nanoseconds
      * @param epochMilliseconds the wall clock
      * @param claims claims idempotency keys
+     * @param crashes watches for crashes of the upstream
      * @param onStatus told of each change of the upstream's state, on the upstream event loop
      */
     public TargetDuty(
@@ -76,10 +85,12 @@
             LongSupplier clock,
             LongSupplier epochMilliseconds,
             ClaimService claims,
+            CrashWatch crashes,
             Consumer<UpstreamStatus> onStatus) {
         this.loop = loop;
         this.clock = clock;
         this.onStatus = onStatus;
+        this.crashes = crashes;
         this.defaultQueueLimit = limits.queueLimit();
         this.registration = new UpstreamRegistration(limits.announcementLeaseMilliseconds());
         this.admission =
@@ -95,10 +106,11 @@
                         registration,
                         new HttpUpstreamClient(loop.loop(), limits.maximumBodyBytes()),
                         claims,
+                        crashes,
                         new TargetTiming(
                                 clock, epochMilliseconds, limits.keyRetentionMilliseconds()));
         this.mailbox = new BoundedMailbox<>(RING_FRAMES, loop::execute, this::take, () -> {});
-        loop.every(TICK_MILLISECONDS, this::tick);
+        loop.every(IDLE_TICK_MILLISECONDS, this::tick);
     }
 
     /**
@@ -129,6 +141,7 @@
     public void announce(Announcement announcement) {
         loop.execute(
                 () -> {
+                    crashes.onAnnounced(announcement.state());
                     registration.announce(announcement, clock.getAsLong());
                     admission.onUpstream(
                             announcement.state(), announcement.slots(), announcement.connections());
@@ -160,12 +173,28 @@
 
     private void take(Received received) {
         dispatcher.onFrame(received.link(), received.frame());
+        tickSoonWhileBusy();
+    }
+
+    private void tickSoonWhileBusy() {
+        if (!busyTickPending && !dispatcher.isIdle()) {
+            busyTickPending = true;
+            loop.timers().after(BUSY_TICK_MILLISECONDS, this::busyTick);
+        }
+    }
+
+    private void busyTick() {
+        busyTickPending = false;
+        dispatcher.tick();
+        lastLoad = admission.loadReport(clock.getAsLong());
+        tickSoonWhileBusy();
     }
 
     private void tick() {
         long now = clock.getAsLong();
         if (registration.expire(now)) {
             logger.atWarning().log("event=upstream-absent step=announcement-lease peer=upstream");
+            crashes.onLapsed();
             admission.onUpstream(UpstreamState.ABSENT, 0, 0);
             publishStatus();
         }
--- a/node/src/main/java/org/damaskmoor/node/internal/target/UpstreamOutcome.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/target/UpstreamOutcome.java
@@ -23,6 +23,7 @@
      * No whole answer: it may have run.
      *
      * @param detail what happened
+     * @param connectionLost whether the connection ended, rather than the time
      */
-    record Failed(String detail) implements UpstreamOutcome {}
+    record Failed(String detail, boolean connectionLost) implements UpstreamOutcome {}
 }
