--- a/bench/src/test/java/org/damaskmoor/bench/failure/ConfigurationFailureTest.java
+++ b/bench/src/test/java/org/damaskmoor/bench/failure/ConfigurationFailureTest.java
@@ -94,7 +94,6 @@
         site.awaitVersion(SERVICE, version + 1);
     }
 
-    @Tag("known-red")
     @Test
     void should_refuse_changes_and_serve_on_when_the_platform_is_down() throws Exception {
         // given
