--- a/node/src/test/java/org/damaskmoor/node/AnswersTest.java
+++ b/node/src/test/java/org/damaskmoor/node/AnswersTest.java
@@ -22,7 +22,7 @@
 
 final class AnswersTest {
     private static final String HOST = " HTTP/1.1\r\nHost: besuch.bern.example\r\n";
-    private static final CountDownLatch released = new CountDownLatch(1);
+    private static final CountDownLatch RELEASED = new CountDownLatch(1);
 
     private static FakeTableService tables;
     private static TestNode node;
@@ -43,7 +43,7 @@
 
     @AfterAll
     static void stop() {
-        released.countDown();
+        RELEASED.countDown();
         upstream.close();
         node.close();
         tables.close();
@@ -87,7 +87,7 @@
 
     private static void awaitRelease() {
         try {
-            released.await();
+            RELEASED.await();
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         }
