--- a/node/src/main/java/org/damaskmoor/node/NodeProcess.java
+++ b/node/src/main/java/org/damaskmoor/node/NodeProcess.java
@@ -45,7 +45,6 @@
 import org.damaskmoor.node.internal.security.NodeSecurity;
 import org.damaskmoor.node.internal.stop.PlannedStop;
 import org.damaskmoor.node.internal.stop.StopSteps;
-import org.damaskmoor.node.internal.target.ClaimService;
 import org.damaskmoor.node.internal.target.CrashWatch;
 import org.damaskmoor.node.internal.target.TargetDuty;
 import org.damaskmoor.node.internal.target.TargetDuty.UpstreamStatus;
@@ -53,7 +52,6 @@
 import org.damaskmoor.platform.PlatformClientLimits;
 import org.damaskmoor.platform.PlatformServiceTable;
 import org.damaskmoor.platform.TableService;
-import org.damaskmoor.schema.gossip.MemberRecord;
 import org.damaskmoor.schema.gossip.QuarantineRecord;
 import org.damaskmoor.schema.mesh.LoadProbeAnswer;
 import org.damaskmoor.schema.mesh.MeshFrame;
@@ -74,7 +72,6 @@
  */
 public final class NodeProcess {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final long CLAIM_RELEASE_PAUSE_MILLISECONDS = 1_000;
 
     private final NodeSettings settings;
     private final NodeParameters parameters;
@@ -145,7 +142,7 @@
                                 record -> crashes().merge(record)),
                         new JoinPoints(tables),
                         members,
-                        new Listener(),
+                        new PresenceListener(self, entry, accounting, configuration),
                         controlLoop::execute,
                         NodeProcess::monotonicMilliseconds,
                         new SplittableRandom());
@@ -182,16 +179,6 @@
         return members;
     }
 
-    /** Crashes of upstreams that this node knows of and that still count. */
-    public int crashRecords() {
-        return crashes.records();
-    }
-
-    /** Requests of callers at this node that wait for their reply. */
-    public int openRequests() {
-        return entry.openRequests();
-    }
-
     /**
      * A planned stop: takes no new work, finishes what is in flight within the drain timeout, tells
      * the other nodes, and ends.
@@ -345,22 +332,15 @@
                 parameters.target(),
                 System::nanoTime,
                 System::currentTimeMillis,
-                claims(incarnation),
+                TableClaims.of(
+                        self,
+                        incarnation,
+                        platform.tableService(URI.create(settings.getTableServiceUrl())),
+                        upstreamLoop::execute),
                 crashes,
                 this::onUpstreamStatus);
     }
 
-    private ClaimService claims(Incarnation incarnation) {
-        return new TableClaims(
-                self,
-                incarnation,
-                platform.tableService(URI.create(settings.getTableServiceUrl())),
-                System::currentTimeMillis,
-                upstreamLoop::execute,
-                CompletableFuture.delayedExecutor(
-                        CLAIM_RELEASE_PAUSE_MILLISECONDS, TimeUnit.MILLISECONDS));
-    }
-
     private EntryDuty entryDuty(Incarnation incarnation) {
         SelfLink selfLink = new SelfLink(self, incarnation, frame -> entry().offer(frame));
         MeshCarrier carrier =
@@ -412,28 +392,4 @@
     private static long monotonicMilliseconds() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
-
-    /** Passes on what membership finds. */
-    private final class Listener implements MembershipDuty.MembershipListener {
-        @Override
-        public void onPublished() {
-            entry.onMembers();
-        }
-
-        @Override
-        public void onPresent(MemberRecord member) {
-            accounting.onPresent(member);
-        }
-
-        @Override
-        public void onGone(MemberRecord member) {
-            accounting.onGone(member);
-            configuration.forget(new NodeId(member.getNodeId()));
-        }
-
-        @Override
-        public void onSuperseded() {
-            logger.atSevere().log("event=node-superseded node=%s", self);
-        }
-    }
 }
--- a/node/src/main/java/org/damaskmoor/node/internal/claims/TableClaims.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/claims/TableClaims.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.damaskmoor.core.id.Incarnation;
@@ -40,6 +41,7 @@
     private static final int WRITE_ATTEMPTS = 3;
     private static final int CLAIM_ROUNDS = 3;
     private static final int RELEASE_ATTEMPTS = 5;
+    private static final long RELEASE_PAUSE_MILLISECONDS = 1_000;
 
     private final NodeId self;
     private final Incarnation incarnation;
@@ -49,6 +51,19 @@
     private final Executor upstream;
     private final Executor later;
 
+    /** Claims for one start of a node, with the wall clock and the usual pause. */
+    public static TableClaims of(
+            NodeId self, Incarnation incarnation, TableService tables, Executor upstream) {
+        return new TableClaims(
+                self,
+                incarnation,
+                tables,
+                System::currentTimeMillis,
+                upstream,
+                CompletableFuture.delayedExecutor(
+                        RELEASE_PAUSE_MILLISECONDS, TimeUnit.MILLISECONDS));
+    }
+
     /**
      * Claims for one start of a node.
      *
--- a/node/src/main/java/org/damaskmoor/node/internal/entry/ServiceRuntimes.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/ServiceRuntimes.java
@@ -100,6 +100,7 @@
     /** A target told of its load in answer to a probe. */
     public void onLoad(TargetId target, LoadReport load, long nowNanoseconds) {
         members.member(target.node())
+                .filter(member -> !member.getService().isEmpty())
                 .map(member -> runtimes.get(new ServiceName(member.getService())))
                 .ifPresent(runtime -> runtime.router().onLoadHeard(target, load, nowNanoseconds));
     }
--- a/node/src/main/java/org/damaskmoor/node/internal/members/MembershipDuty.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/members/MembershipDuty.java
@@ -199,13 +199,16 @@
         }
     }
 
+    /** Changes of the own record raise no event. */
+    private boolean isChanged() {
+        return changed || !protocol.self().equals(publishedSelf);
+    }
+
     private void publishIfDue() {
         long now = milliseconds.getAsLong();
-        MemberRecord self = protocol.self();
-        changed |= !self.equals(publishedSelf);
-        if (changed && now >= nextPublishMilliseconds) {
+        if (isChanged() && now >= nextPublishMilliseconds) {
             changed = false;
-            publishedSelf = self;
+            publishedSelf = protocol.self();
             nextPublishMilliseconds = now + PUBLISH_MILLISECONDS;
             members = protocol.members();
             nearestPeers = sortByDistance(members);
--- a/node/src/main/java/org/damaskmoor/node/internal/operator/ExplainCall.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/operator/ExplainCall.java
@@ -115,18 +115,19 @@
             return "Refused: no upstream of the service takes new work.";
         }
         if (near == 0) {
-            return "Goes over the paid link to one of "
+            return "Goes over the paid link, because no upstream in this region takes new work;"
+                    + " upstreams that do in other regions: "
                     + far
-                    + " upstreams, because none in this region takes new work.";
+                    + ".";
         }
-        String also =
+        String alsoFar =
                 explained.regionHeadroomGone()
-                        ? "; as all of them are full, also to one of " + far + " in other regions"
+                        ? "; as this region is full, also over the paid link, upstreams there: "
+                                + far
                         : "";
-        return "Goes to the cheapest of a few sampled from "
+        return "Goes to the cheapest of a few sampled; upstreams here that take new work: "
                 + near
-                + " upstreams of this region"
-                + also
+                + alsoFar
                 + ".";
     }
 
--- a/node/src/main/java/org/damaskmoor/node/internal/target/TargetDuty.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/target/TargetDuty.java
@@ -28,7 +28,13 @@
 public final class TargetDuty {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int RING_FRAMES = 16_384;
-    private static final long TICK_MILLISECONDS = 2;
+
+    /** Pause between looks at what waits, while anything does. */
+    private static final long BUSY_TICK_MILLISECONDS = 2;
+
+    /** Pause between looks at the announcement's lease and the ledger. */
+    private static final long IDLE_TICK_MILLISECONDS = 50;
+
     private static final int LEDGER_ENTRIES = 65_536;
     private static final long LEDGER_ANSWER_BYTES = 8 * 1024 * 1024;
     private static final int LEDGER_FENCES = 4_096;
@@ -56,6 +62,7 @@
     private final CrashWatch crashes;
     private volatile LoadReport lastLoad = LoadReport.getDefaultInstance();
     private volatile boolean draining;
+    private boolean busyTickPending;
     private UpstreamStatus lastStatus =
             new UpstreamStatus(Optional.empty(), UpstreamState.ABSENT, 0);
 
@@ -103,7 +110,7 @@
                         new TargetTiming(
                                 clock, epochMilliseconds, limits.keyRetentionMilliseconds()));
         this.mailbox = new BoundedMailbox<>(RING_FRAMES, loop::execute, this::take, () -> {});
-        loop.every(TICK_MILLISECONDS, this::tick);
+        loop.every(IDLE_TICK_MILLISECONDS, this::tick);
     }
 
     /**
@@ -166,6 +173,21 @@
 
     private void take(Received received) {
         dispatcher.onFrame(received.link(), received.frame());
+        tickSoonWhileBusy();
+    }
+
+    private void tickSoonWhileBusy() {
+        if (!busyTickPending && !dispatcher.isIdle()) {
+            busyTickPending = true;
+            loop.timers().after(BUSY_TICK_MILLISECONDS, this::busyTick);
+        }
+    }
+
+    private void busyTick() {
+        busyTickPending = false;
+        dispatcher.tick();
+        lastLoad = admission.loadReport(clock.getAsLong());
+        tickSoonWhileBusy();
     }
 
     private void tick() {
