--- a/node/src/test/java/org/damaskmoor/node/AnswersTest.java
+++ b/node/src/test/java/org/damaskmoor/node/AnswersTest.java
@@ -22,7 +22,7 @@
 
 final class AnswersTest {
     private static final String HOST = " HTTP/1.1\r\nHost: besuch.bern.example\r\n";
-    private static final CountDownLatch released = new CountDownLatch(1);
+    private static final CountDownLatch RELEASED = new CountDownLatch(1);
 
     private static FakeTableService tables;
     private static TestNode node;
@@ -43,7 +43,7 @@
 
     @AfterAll
     static void stop() {
-        released.countDown();
+        RELEASED.countDown();
         upstream.close();
         node.close();
         tables.close();
@@ -87,7 +87,7 @@
 
     private static void awaitRelease() {
         try {
-            released.await();
+            RELEASED.await();
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         }
@@ -177,13 +177,13 @@
         int before = upstream.started.get();
         RawClient client = new RawClient(node.port()).send("GET /wait" + HOST + "\r\n");
         TestNode.await("the request runs", () -> upstream.started.get() == before + 1);
-        assertThat(node.process.openRequests()).isEqualTo(1);
+        assertThat(node.metric("damaskmoor_open_requests")).isEqualTo(1.0);
 
         // when
         client.close();
 
         // then
-        TestNode.await("its place is free", () -> node.process.openRequests() == 0);
+        TestNode.await("its place is free", () -> node.metric("damaskmoor_open_requests") == 0);
     }
 
     private static String ask(String request) {
--- a/node/src/test/java/org/damaskmoor/node/QuarantineTest.java
+++ b/node/src/test/java/org/damaskmoor/node/QuarantineTest.java
@@ -49,7 +49,9 @@
                                         TestNode.await(
                                                 "crashes are known",
                                                 () ->
-                                                        pair.node().process.crashRecords()
+                                                        pair.node()
+                                                                        .metric(
+                                                                                "damaskmoor_crash_records")
                                                                 >= expected));
             }
 
