Commit the node's target part, which .gitignore hid

The pattern target/ was meant for Maven's output and also matched the package node.internal.target, so a fresh checkout did not build.

--- /dev/null
+++ b/node/src/main/java/org/damaskmoor/node/internal/target/HttpUpstreamClient.java
@@ -0,0 +1,170 @@
+package org.damaskmoor.node.internal.target;
+
+import com.google.protobuf.ByteString;
+import io.activej.bytebuf.ByteBuf;
+import io.activej.eventloop.Eventloop;
+import io.activej.http.HttpClient;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpMethod;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import io.activej.reactor.schedule.ScheduledRunnable;
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Consumer;
+import org.damaskmoor.node.internal.http.HeaderFields;
+import org.damaskmoor.node.internal.http.OutcomeReplies;
+import org.damaskmoor.platform.http.AddressLookup;
+import org.damaskmoor.platform.http.ConnectFailures;
+import org.damaskmoor.schema.mesh.Call;
+import org.damaskmoor.schema.mesh.CallAnswer;
+import org.damaskmoor.schema.mesh.HeaderField;
+
+/**
+ * Sends calls to the upstream over HTTP with the ActiveJ client.
+ *
+ * <p>Confined to the upstream event loop. Invariant: a call is written to one connection at most;
+ * it is never repeated here.
+ */
+final class HttpUpstreamClient implements UpstreamClient {
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+    private static final Duration KEEP_ALIVE = Duration.ofSeconds(5);
+    private static final Duration READ_WRITE_TIMEOUT = Duration.ofMinutes(10);
+    private static final int SERVICE_UNAVAILABLE = 503;
+
+    /** Added by this node; what the caller sent under these names is not passed on. */
+    private static final List<String> OWN_FIELDS =
+            List.of(
+                    "Damaskmoor-Request-Id",
+                    "Damaskmoor-Deadline-Ms",
+                    "Damaskmoor-Caller",
+                    "Accept-Encoding");
+
+    private final Eventloop loop;
+    private final int maximumBodyBytes;
+    private final ConnectFailures connectFailures = new ConnectFailures();
+    private final HttpClient client;
+
+    HttpUpstreamClient(Eventloop loop, int maximumBodyBytes) {
+        this.loop = loop;
+        this.maximumBodyBytes = maximumBodyBytes;
+        this.client =
+                HttpClient.builder(loop, new AddressLookup(loop))
+                        .withConnectTimeout(CONNECT_TIMEOUT)
+                        .withKeepAliveTimeout(KEEP_ALIVE)
+                        .withReadWriteTimeout(READ_WRITE_TIMEOUT)
+                        .withMaxBodySize(maximumBodyBytes)
+                        .withInspector(connectFailures)
+                        .build();
+    }
+
+    @Override
+    public void send(
+            UpstreamAddress upstream,
+            Call call,
+            long remainingMilliseconds,
+            Consumer<UpstreamOutcome> whenDone) {
+        OneOutcome outcome = new OneOutcome(whenDone);
+        HttpRequest request;
+        try {
+            request = request(upstream, call, remainingMilliseconds);
+        } catch (IllegalArgumentException unusable) {
+            outcome.accept(new UpstreamOutcome.NotRun(false, false));
+            return;
+        }
+        outcome.limit(loop.delay(remainingMilliseconds, outcome::expire));
+        client.request(request)
+                .then(this::readWhole)
+                .whenResult(outcome::accept)
+                .whenException(exception -> outcome.accept(failure(request, exception)));
+    }
+
+    private UpstreamOutcome failure(HttpRequest request, Exception exception) {
+        if (connectFailures.remove(request)) {
+            return new UpstreamOutcome.NotRun(true, false);
+        }
+        return new UpstreamOutcome.Failed(String.valueOf(exception));
+    }
+
+    private Promise<UpstreamOutcome> readWhole(HttpResponse response) {
+        return response.loadBody(maximumBodyBytes).map(body -> outcome(response, body));
+    }
+
+    private static UpstreamOutcome outcome(HttpResponse response, ByteBuf body) {
+        if (isNotRun(response)) {
+            boolean below =
+                    response.getHeader(HttpHeaders.of(OutcomeReplies.REFUSED_BELOW_FIELD)) != null;
+            return new UpstreamOutcome.NotRun(false, below);
+        }
+        return new UpstreamOutcome.Answered(
+                CallAnswer.newBuilder()
+                        .setStatus(response.getCode())
+                        .addAllHeaders(HeaderFields.endToEnd(response))
+                        .setBody(ByteString.copyFrom(body.getArray()))
+                        .build());
+    }
+
+    private static boolean isNotRun(HttpResponse response) {
+        String outcome = response.getHeader(HttpHeaders.of(OutcomeReplies.OUTCOME_FIELD));
+        return response.getCode() == SERVICE_UNAVAILABLE && OutcomeReplies.NOT_RUN.equals(outcome);
+    }
+
+    private static HttpRequest request(
+            UpstreamAddress upstream, Call call, long remainingMilliseconds) {
+        String url = "http://" + upstream.host() + ":" + upstream.port() + call.getTarget();
+        HttpRequest.Builder request =
+                HttpRequest.builder(HttpMethod.valueOf(call.getMethod()), url);
+        for (HeaderField field : call.getHeadersList()) {
+            boolean own = OWN_FIELDS.stream().anyMatch(field.getName()::equalsIgnoreCase);
+            if (!own && !field.getName().equalsIgnoreCase("Host")) {
+                request.withHeader(HttpHeaders.of(field.getName()), field.getValue());
+            }
+        }
+        request.withHeader(HttpHeaders.of("Damaskmoor-Request-Id"), requestId(call));
+        request.withHeader(
+                HttpHeaders.of("Damaskmoor-Deadline-Ms"), Long.toString(remainingMilliseconds));
+        request.withHeader(HttpHeaders.of("Damaskmoor-Caller"), call.getCaller());
+        if (!call.getBody().isEmpty()) {
+            request.withBody(call.getBody().toByteArray());
+        }
+        return request.build();
+    }
+
+    private static String requestId(Call call) {
+        return call.getRequestId().getEntryNode()
+                + "/"
+                + call.getRequestId().getEntryIncarnation()
+                + "/"
+                + call.getRequestId().getSequence();
+    }
+
+    /** Passes on the first outcome only. */
+    private static final class OneOutcome {
+        private final Consumer<UpstreamOutcome> whenDone;
+        private ScheduledRunnable limit;
+        private boolean done;
+
+        OneOutcome(Consumer<UpstreamOutcome> whenDone) {
+            this.whenDone = whenDone;
+        }
+
+        void limit(ScheduledRunnable timer) {
+            limit = timer;
+        }
+
+        void expire() {
+            accept(new UpstreamOutcome.Failed("no answer before the deadline"));
+        }
+
+        void accept(UpstreamOutcome outcome) {
+            if (!done) {
+                done = true;
+                if (limit != null && limit.isActive()) {
+                    limit.cancel();
+                }
+                whenDone.accept(outcome);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/damaskmoor/node/internal/target/TargetFrames.java
@@ -0,0 +1,87 @@
+package org.damaskmoor.node.internal.target;
+
+import org.damaskmoor.core.id.Incarnation;
+import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.core.id.RequestId;
+import org.damaskmoor.schema.mesh.CallAccepted;
+import org.damaskmoor.schema.mesh.CallAnswer;
+import org.damaskmoor.schema.mesh.CallFailed;
+import org.damaskmoor.schema.mesh.CallRefused;
+import org.damaskmoor.schema.mesh.LoadReport;
+import org.damaskmoor.schema.mesh.MeshFrame;
+import org.damaskmoor.schema.mesh.SealResult;
+import org.damaskmoor.schema.mesh.SealState;
+
+/** Makes the frames that a target sends about a call. Stateless and thread-safe. */
+final class TargetFrames {
+    private TargetFrames() {}
+
+    static MeshFrame accepted(Waiter waiter) {
+        return MeshFrame.newBuilder()
+                .setAccepted(
+                        CallAccepted.newBuilder()
+                                .setRequestId(message(waiter.id()))
+                                .setAttempt(waiter.attempt()))
+                .build();
+    }
+
+    static MeshFrame answer(Waiter waiter, CallAnswer answer, LoadReport load) {
+        return MeshFrame.newBuilder()
+                .setAnswer(
+                        answer.toBuilder()
+                                .setRequestId(message(waiter.id()))
+                                .setAttempt(waiter.attempt())
+                                .setLoad(load))
+                .build();
+    }
+
+    static MeshFrame refused(Waiter waiter, CallRefusal refusal, LoadReport load) {
+        return MeshFrame.newBuilder()
+                .setRefused(
+                        CallRefused.newBuilder()
+                                .setRequestId(message(waiter.id()))
+                                .setAttempt(waiter.attempt())
+                                .setReason(refusal.reason())
+                                .setRetryAfterMilliseconds(refusal.retryAfterMilliseconds())
+                                .setRefusedBelow(refusal.refusedBelow())
+                                .setLoad(load))
+                .build();
+    }
+
+    static MeshFrame failed(Waiter waiter, String detail, LoadReport load) {
+        return MeshFrame.newBuilder()
+                .setFailed(
+                        CallFailed.newBuilder()
+                                .setRequestId(message(waiter.id()))
+                                .setAttempt(waiter.attempt())
+                                .setStep("upstream")
+                                .setDetail(detail)
+                                .setLoad(load))
+                .build();
+    }
+
+    static MeshFrame sealed(Waiter waiter, SealState state) {
+        return MeshFrame.newBuilder()
+                .setSealed(
+                        SealResult.newBuilder()
+                                .setRequestId(message(waiter.id()))
+                                .setAttempt(waiter.attempt())
+                                .setState(state))
+                .build();
+    }
+
+    static RequestId requestId(org.damaskmoor.schema.mesh.RequestId message) {
+        return new RequestId(
+                new NodeId(message.getEntryNode()),
+                new Incarnation(message.getEntryIncarnation()),
+                message.getSequence());
+    }
+
+    private static org.damaskmoor.schema.mesh.RequestId message(RequestId id) {
+        return org.damaskmoor.schema.mesh.RequestId.newBuilder()
+                .setEntryNode(id.entryNode().value())
+                .setEntryIncarnation(id.entryIncarnation().value())
+                .setSequence(id.sequence())
+                .build();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/damaskmoor/node/internal/target/Waiters.java
@@ -0,0 +1,87 @@
+package org.damaskmoor.node.internal.target;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.damaskmoor.core.id.RequestId;
+import org.damaskmoor.core.once.CallState;
+import org.damaskmoor.schema.mesh.CallAnswer;
+import org.damaskmoor.schema.mesh.LoadReport;
+import org.damaskmoor.schema.mesh.RefusalReason;
+
+/**
+ * The entry nodes that wait for the outcome of calls, and what they are told.
+ *
+ * <p>Confined to the upstream event loop. Invariant: each is told over the connection on which it
+ * was heard of last; an outcome that can't be sent is asked for again by the entry node.
+ */
+final class Waiters {
+    private final Supplier<LoadReport> load;
+    private final Map<RequestId, Waiter> waiting = new HashMap<>();
+
+    Waiters(Supplier<LoadReport> load) {
+        this.load = load;
+    }
+
+    /** Remembers who waits, in place of what was known before. */
+    void add(Waiter waiter) {
+        waiting.put(waiter.id(), waiter);
+    }
+
+    void remove(RequestId id) {
+        waiting.remove(id);
+    }
+
+    void tellAnswer(RequestId id, CallAnswer answer) {
+        Waiter waiter = waiting.remove(id);
+        if (waiter != null) {
+            waiter.link().send(TargetFrames.answer(waiter, answer, load.get()));
+        }
+    }
+
+    void tellRefusal(RequestId id, CallRefusal refusal) {
+        Waiter waiter = waiting.remove(id);
+        if (waiter != null) {
+            sendRefusal(waiter, refusal);
+        }
+    }
+
+    void tellFailure(RequestId id, String detail) {
+        Waiter waiter = waiting.remove(id);
+        if (waiter != null) {
+            sendFailure(waiter, detail);
+        }
+    }
+
+    void sendRefusal(Waiter waiter, CallRefusal refusal) {
+        waiter.link().send(TargetFrames.refused(waiter, refusal, load.get()));
+    }
+
+    /** Sends an outcome that is known already. */
+    void sendOutcome(Waiter waiter, CallState state, Optional<ByteString> answer) {
+        boolean kept = answer.isPresent() && !answer.get().isEmpty();
+        if (state.isNotRun()) {
+            sendRefusal(waiter, CallRefusal.of(RefusalReason.SEALED_AFTER_SILENCE));
+        } else if (state == CallState.ANSWERED && kept) {
+            CallAnswer parsed = parse(answer.get());
+            waiter.link().send(TargetFrames.answer(waiter, parsed, load.get()));
+        } else {
+            sendFailure(waiter, "its answer is no longer kept");
+        }
+    }
+
+    private void sendFailure(Waiter waiter, String detail) {
+        waiter.link().send(TargetFrames.failed(waiter, detail, load.get()));
+    }
+
+    private static CallAnswer parse(ByteString kept) {
+        try {
+            return CallAnswer.parseFrom(kept);
+        } catch (InvalidProtocolBufferException corrupted) {
+            throw new IllegalStateException("an answer kept in memory can't be read", corrupted);
+        }
+    }
+}
