--- a/bench/src/main/java/org/damaskmoor/bench/demo/ServiceApplier.java
+++ b/bench/src/main/java/org/damaskmoor/bench/demo/ServiceApplier.java
@@ -5,7 +5,7 @@
 
 /** Puts a service's configuration in force. */
 @FunctionalInterface
-interface ServiceApplier {
+public interface ServiceApplier {
     /** Returns once the configuration was accepted. */
     void apply(ServiceConfiguration service) throws IOException;
 }
--- a/bench/src/main/java/org/damaskmoor/bench/demo/TableServiceApplier.java
+++ b/bench/src/main/java/org/damaskmoor/bench/demo/TableServiceApplier.java
@@ -11,11 +11,11 @@
  *
  * <p>Thread safe.
  */
-final class TableServiceApplier implements ServiceApplier {
+public final class TableServiceApplier implements ServiceApplier {
     private final BlockingClient client;
     private final String tableServiceUrl;
 
-    TableServiceApplier(BlockingClient client, String tableServiceUrl) {
+    public TableServiceApplier(BlockingClient client, String tableServiceUrl) {
         this.client = client;
         this.tableServiceUrl = tableServiceUrl;
     }
--- a/core/src/main/java/org/damaskmoor/core/retry/RetryBudget.java
+++ b/core/src/main/java/org/damaskmoor/core/retry/RetryBudget.java
@@ -25,15 +25,27 @@
     /** Sums of small shares may fall a little short of a whole token. */
     private static final double ROUNDING = 1e-9;
 
+    private final double burstTokens;
     private double tokensPerRequest;
-    private double tokens = BURST_TOKENS;
+    private double tokens;
     private long filledAtNanoseconds;
 
     public RetryBudget(int percent, long nowNanoseconds) {
+        this(percent, BURST_TOKENS, nowNanoseconds);
+    }
+
+    private RetryBudget(int percent, double burstTokens, long nowNanoseconds) {
         configure(percent);
+        this.burstTokens = burstTokens;
+        this.tokens = burstTokens;
         this.filledAtNanoseconds = nowNanoseconds;
     }
 
+    /** A budget that never allows a further attempt, for baselines without retries. */
+    public static RetryBudget none() {
+        return new RetryBudget(0, 0, 0);
+    }
+
     /** The configuration has changed. */
     public void configure(int percent) {
         tokensPerRequest = percent / PERCENT;
@@ -62,6 +74,6 @@
     }
 
     private void add(double more) {
-        tokens = Math.min(BURST_TOKENS, tokens + more);
+        tokens = Math.min(burstTokens, tokens + more);
     }
 }
--- a/node/src/main/java/org/damaskmoor/node/NodeProcess.java
+++ b/node/src/main/java/org/damaskmoor/node/NodeProcess.java
@@ -31,7 +31,6 @@
 import org.damaskmoor.node.internal.entry.MeshCarrier;
 import org.damaskmoor.node.internal.entry.RefusalRecorder;
 import org.damaskmoor.node.internal.entry.ServiceRuntimes;
-import org.damaskmoor.node.internal.entry.ServiceRuntimes.ChoicePolicyFactory;
 import org.damaskmoor.node.internal.entry.ServiceRuntimes.RoutingDefaults;
 import org.damaskmoor.node.internal.members.JoinPoints;
 import org.damaskmoor.node.internal.members.MemberDirectory;
@@ -78,6 +77,7 @@
     private static final long IDLE_CHECK_MILLISECONDS = 20;
 
     private final NodeSettings settings;
+    private final NodeOptions nodeOptions;
     private final NodeId self;
     private final DutyLoop callerLoop = new DutyLoop("callers");
     private final DutyLoop upstreamLoop = new DutyLoop("upstream");
@@ -101,7 +101,14 @@
      * @param customizer changes each channel to other nodes before it is used
      */
     public NodeProcess(NodeSettings settings, ChannelCustomizer customizer) {
+        this(settings, customizer, NodeOptions.PRODUCT);
+    }
+
+    /** Creates a node that a benchmark has changed. */
+    public NodeProcess(
+            NodeSettings settings, ChannelCustomizer customizer, NodeOptions nodeOptions) {
         this.settings = settings;
+        this.nodeOptions = nodeOptions;
         this.self = new NodeId(settings.getNodeId());
         Incarnation incarnation = new Incarnation(System.currentTimeMillis());
         platform = new PlatformClient(PlatformClientLimits.defaults(), new SplittableRandom());
@@ -352,12 +359,16 @@
                 new RoutingOptions(
                         settings.getSampledCandidates(),
                         RoutingOptions.DEFAULT.slowStartNanoseconds(),
-                        RoutingOptions.DEFAULT.ejectedPercent());
+                        nodeOptions.ejection() ? RoutingOptions.DEFAULT.ejectedPercent() : 0);
         return new ServiceRuntimes(
                 new RegionName(settings.getRegion()),
                 new DataCentreName(settings.getDataCentre()),
                 new RoutingDefaults(
-                        options, settings.getRetryBudgetPercent(), ChoicePolicyFactory.PRODUCT),
+                        options,
+                        settings.getRetryBudgetPercent(),
+                        nodeOptions.policy()::apply,
+                        nodeOptions.furtherAttempts(),
+                        nodeOptions.observer()),
                 members,
                 System::nanoTime,
                 new SplittableRandom(),
--- a/node/src/main/java/org/damaskmoor/node/internal/entry/ServiceRuntimes.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/ServiceRuntimes.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.LongSupplier;
+import java.util.function.UnaryOperator;
 import java.util.random.RandomGenerator;
 import org.damaskmoor.core.configuration.MatchedService;
 import org.damaskmoor.core.configuration.ServiceMatcher;
@@ -17,6 +18,7 @@
 import org.damaskmoor.core.routing.RoutingOptions;
 import org.damaskmoor.core.routing.TargetId;
 import org.damaskmoor.node.internal.members.MemberDirectory;
+import org.damaskmoor.schema.configuration.RetryPolicy;
 import org.damaskmoor.schema.configuration.ServiceConfiguration;
 import org.damaskmoor.schema.mesh.LoadReport;
 
@@ -41,9 +43,15 @@
      * @param options how to route
      * @param retryBudgetPercent further attempts as a share of requests
      * @param policy how to choose among candidates, from the number that is sampled
+     * @param furtherAttempts whether requests are retried and hedged
+     * @param observer put around each router
      */
     public record RoutingDefaults(
-            RoutingOptions options, int retryBudgetPercent, ChoicePolicyFactory policy) {}
+            RoutingOptions options,
+            int retryBudgetPercent,
+            ChoicePolicyFactory policy,
+            boolean furtherAttempts,
+            UnaryOperator<Router> observer) {}
 
     /** Makes the policy for a number of sampled candidates. */
     @FunctionalInterface
@@ -124,18 +132,26 @@
         ServiceConfiguration configuration = configuration(matcher, service);
         RoutingOptions options = RoutingOptions.of(configuration.getRouting(), defaults.options());
         Router router =
-                Router.create(
-                        region,
-                        dataCentre,
-                        options,
-                        defaults.policy().sampling(options.sampledCandidates()),
-                        random);
+                defaults.observer()
+                        .apply(
+                                Router.create(
+                                        region,
+                                        dataCentre,
+                                        options,
+                                        defaults.policy().sampling(options.sampledCandidates()),
+                                        random));
         router.updateTargets(members.targets(service), now);
-        int percent = configuration.getRetry().getBudgetPercent();
-        RetryBudget budget =
-                new RetryBudget(percent == 0 ? defaults.retryBudgetPercent() : percent, now);
-        HedgePolicy hedging =
-                new HedgePolicy(configuration.getRetry().getHedgePercentile(), budget, now);
-        return new ServiceRuntime(router, budget, hedging);
+        RetryBudget budget = retryBudget(configuration.getRetry(), now);
+        int hedgePercentile =
+                defaults.furtherAttempts() ? configuration.getRetry().getHedgePercentile() : 0;
+        return new ServiceRuntime(router, budget, new HedgePolicy(hedgePercentile, budget, now));
+    }
+
+    private RetryBudget retryBudget(RetryPolicy policy, long now) {
+        if (!defaults.furtherAttempts()) {
+            return RetryBudget.none();
+        }
+        int percent = policy.getBudgetPercent();
+        return new RetryBudget(percent == 0 ? defaults.retryBudgetPercent() : percent, now);
     }
 }
