--- a/bench/src/main/java/org/damaskmoor/bench/BenchMain.java
+++ b/bench/src/main/java/org/damaskmoor/bench/BenchMain.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.Callable;
 import org.damaskmoor.bench.demo.DemoCommand;
 import org.damaskmoor.bench.demo.LoadCommand;
+import org.damaskmoor.bench.experiment.ExperimentCommand;
 import org.damaskmoor.bench.link.EmulatedNode;
 import org.damaskmoor.bench.platform.PlatformStandInCommand;
 import org.damaskmoor.bench.upstream.UpstreamStandInCommand;
@@ -53,6 +54,7 @@
         return Cli.<Callable<Integer>>builder("damaskmoor-bench")
                 .withCommand(DemoCommand.class)
                 .withCommand(LoadCommand.class)
+                .withCommand(ExperimentCommand.class)
                 .withCommand(PlatformStandInCommand.class)
                 .withCommand(UpstreamStandInCommand.class)
                 .build();
--- a/bench/src/main/java/org/damaskmoor/bench/demo/Demo.java
+++ b/bench/src/main/java/org/damaskmoor/bench/demo/Demo.java
@@ -12,6 +12,7 @@
 import org.damaskmoor.bench.load.LoadRun;
 import org.damaskmoor.bench.load.PlannedCall;
 import org.damaskmoor.bench.load.Schedule;
+import org.damaskmoor.bench.load.Schedule.Shares;
 import org.damaskmoor.bench.verification.InvariantChecker;
 import org.damaskmoor.bench.verification.Totals;
 import org.damaskmoor.bench.verification.UpstreamRuns;
@@ -61,11 +62,13 @@
     Totals run(long seed) throws IOException, InterruptedException {
         start();
         Random random = new Random(seed);
-        Schedule schedule = new Schedule(deployment.requests(), random, "warm-" + seed);
+        Schedule schedule =
+                new Schedule(deployment.requests(), random, "warm-" + seed, Shares.DEMO);
         double rate = deployment.requestsPerSecond();
         List<CallRecord> warmUp = load(schedule.plan(rate, WARM_UP_SECONDS));
         progress.step("warmed up");
-        Schedule measured = new Schedule(deployment.requests(), random, "load-" + seed);
+        Schedule measured =
+                new Schedule(deployment.requests(), random, "load-" + seed, Shares.DEMO);
         List<CallRecord> records;
         try (FaultPlan faults = new FaultPlan(site.places(), children, client, progress)) {
             faults.start();
--- a/bench/src/main/java/org/damaskmoor/bench/demo/LoadCommand.java
+++ b/bench/src/main/java/org/damaskmoor/bench/demo/LoadCommand.java
@@ -17,6 +17,7 @@
 import org.damaskmoor.bench.load.LoadRun;
 import org.damaskmoor.bench.load.PlannedCall;
 import org.damaskmoor.bench.load.Schedule;
+import org.damaskmoor.bench.load.Schedule.Shares;
 import org.damaskmoor.bench.verification.InvariantChecker;
 import org.damaskmoor.bench.verification.Totals;
 import org.damaskmoor.bench.verification.UpstreamRuns;
@@ -56,7 +57,8 @@
                 new Schedule(
                         Deployment.read(Path.of(deploymentFile)).requests(),
                         new Random(seed),
-                        "load-" + seed + "-" + System.currentTimeMillis());
+                        "load-" + seed + "-" + System.currentTimeMillis(),
+                        Shares.DEMO);
         List<PlannedCall> calls = schedule.plan(rate, seconds);
         List<CallRecord> records =
                 new LoadRun(urls(entries), urls(upstreams), progress -> {}).run(calls);
--- a/bench/src/main/java/org/damaskmoor/bench/demo/PortBlocks.java
+++ b/bench/src/main/java/org/damaskmoor/bench/demo/PortBlocks.java
@@ -10,7 +10,7 @@
  *
  * <p>Stateless and safe for all threads.
  */
-final class PortBlocks {
+public final class PortBlocks {
     private static final int FIRST = 21_000;
     private static final int LAST = 32_000;
 
@@ -21,7 +21,7 @@
      *
      * @throws IOException when there is none
      */
-    static int firstFree(int ports) throws IOException {
+    public static int firstFree(int ports) throws IOException {
         return IntStream.iterate(FIRST, first -> first + ports <= LAST, first -> first + ports)
                 .filter(first -> isFree(first, ports))
                 .findFirst()
--- /dev/null
+++ b/bench/src/main/java/org/damaskmoor/bench/experiment/Policy.java
@@ -0,0 +1,55 @@
+package org.damaskmoor.bench.experiment;
+
+import java.util.Locale;
+import java.util.function.IntFunction;
+import java.util.function.UnaryOperator;
+import org.damaskmoor.core.routing.ChoicePolicies;
+import org.damaskmoor.core.routing.ChoicePolicy;
+import org.damaskmoor.core.routing.Router;
+import org.damaskmoor.node.NodeOptions;
+
+/** The product's policy and the baselines, which neither retry nor hedge nor eject. */
+public enum Policy {
+    /** What the shipped node runs. */
+    PRODUCT(ChoicePolicies::expectedCompletion, true),
+    /** Any upstream. */
+    RANDOM(candidates -> ChoicePolicies.random(), false),
+    /** Each upstream in turn. */
+    ROUND_ROBIN(candidates -> ChoicePolicies.roundRobin(), false),
+    /** The upstream with the fewest own requests. */
+    LEAST_OWN_REQUESTS(candidates -> ChoicePolicies.leastOwnRequests(), false),
+    /** The better of two upstreams by own requests; what the bounds speak of. */
+    TWO_CHOICES(candidates -> ChoicePolicies.twoChoices(), false);
+
+    private final IntFunction<ChoicePolicy> choice;
+    private final boolean product;
+
+    Policy(IntFunction<ChoicePolicy> choice, boolean product) {
+        this.choice = choice;
+        this.product = product;
+    }
+
+    /** Returns the policy's name on the command line and in results. */
+    public String label() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    /**
+     * Returns the policy of this name.
+     *
+     * @throws IllegalArgumentException when there is none
+     */
+    static Policy named(String label) {
+        for (Policy policy : values()) {
+            if (policy.label().equals(label)) {
+                return policy;
+            }
+        }
+        throw new IllegalArgumentException("--policy has no value " + label);
+    }
+
+    /** Returns what a node that runs this policy is started with. */
+    NodeOptions options(UnaryOperator<Router> observer) {
+        return new NodeOptions(choice, product, product, observer);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/damaskmoor/bench/experiment/PolicyRun.java
@@ -0,0 +1,72 @@
+package org.damaskmoor.bench.experiment;
+
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.util.List;
+import java.util.Random;
+import org.damaskmoor.bench.experiment.Scenario.FaultKind;
+import org.damaskmoor.bench.load.CallRecord;
+import org.damaskmoor.bench.load.LoadRun;
+import org.damaskmoor.bench.load.PlannedCall;
+import org.damaskmoor.bench.load.Schedule;
+import org.damaskmoor.bench.load.Schedule.Shares;
+
+/**
+ * Runs one policy in one scenario: the same schedule and the same faults for each policy.
+ *
+ * <p>Used by one thread.
+ */
+final class PolicyRun {
+    private static final double WARM_UP_SECONDS = 3;
+    private static final long SETTLE_MILLISECONDS = 1500;
+
+    private final Scenario scenario;
+    private final double seconds;
+    private final long seed;
+
+    PolicyRun(Scenario scenario, double seconds, long seed) {
+        this.scenario = scenario;
+        this.seconds = seconds;
+        this.seed = seed;
+    }
+
+    PolicyResult run(Policy policy) throws IOException, InterruptedException {
+        boolean cold = scenario.fault().kind() == FaultKind.COLD_START;
+        try (ExperimentSite site = new ExperimentSite(scenario, seed)) {
+            site.start(policy, cold ? scenario.fault().upstreams() : 0);
+            Thread.sleep(SETTLE_MILLISECONDS);
+            load(site, "warm", WARM_UP_SECONDS);
+            SiteCounters before = site.counters();
+            List<CallRecord> records;
+            try (FaultInjector faults = new FaultInjector(scenario.fault(), site, seed)) {
+                faults.start();
+                records = load(site, "load", seconds);
+            }
+            return result(policy, records, site.counters().since(before));
+        }
+    }
+
+    private PolicyResult result(Policy policy, List<CallRecord> records, SiteCounters counters) {
+        return new PolicyResult(
+                scenario.name(),
+                policy,
+                new Tally(records),
+                counters,
+                seconds,
+                scenario.upstreams(),
+                scenario.upstreams() * scenario.slots(),
+                ManagementFactory.getOperatingSystemMXBean().getSystemLoadAverage());
+    }
+
+    private List<CallRecord> load(ExperimentSite site, String stage, double length)
+            throws InterruptedException {
+        Schedule schedule =
+                new Schedule(
+                        ExperimentService.requests(scenario.bookingShare()),
+                        new Random(seed + stage.hashCode()),
+                        stage + "-" + seed,
+                        Shares.ROUTED_ONCE);
+        List<PlannedCall> calls = schedule.plan(scenario.requestsPerSecond(), length);
+        return new LoadRun(site.entries(), site.upstreamUrls(), line -> {}).run(calls);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/damaskmoor/bench/experiment/ResultTable.java
@@ -0,0 +1,119 @@
+package org.damaskmoor.bench.experiment;
+
+import java.util.List;
+import java.util.Locale;
+import org.damaskmoor.bench.http.JsonObject;
+
+/** Writes results as a table for people and as JSON lines. Stateless and safe for all threads. */
+final class ResultTable {
+    private static final String HEAD =
+            "%-18s %-18s %8s %8s %8s %9s %8s %7s %7s %7s %8s %7s %8s %7s%n";
+    private static final String ROW =
+            "%-18s %-18s %8.2f %8.2f %8.2f %9.2f %8d %7d %7d %7d %8.3f %7d %8.0f %7.1f%n";
+
+    private ResultTable() {}
+
+    /** Returns the table of one scenario. */
+    static String text(List<PolicyResult> results) {
+        StringBuilder text = new StringBuilder();
+        text.append(
+                String.format(
+                        Locale.ROOT,
+                        HEAD,
+                        "scenario",
+                        "policy",
+                        "p50_ms",
+                        "p99_ms",
+                        "p99.9_ms",
+                        "book_p99",
+                        "answered",
+                        "refused",
+                        "failed",
+                        "unknown",
+                        "goodput",
+                        "extra",
+                        "B/s/node",
+                        "loadavg"));
+        results.forEach(result -> text.append(row(result)));
+        results.forEach(result -> text.append(reasons(result)));
+        return text.toString();
+    }
+
+    private static String reasons(PolicyResult result) {
+        return String.format(
+                "without_answer policy=%s %s%n", result.policy().label(), result.tally().reasons());
+    }
+
+    private static String row(PolicyResult result) {
+        return String.format(
+                Locale.ROOT,
+                ROW,
+                result.scenario(),
+                result.policy().label(),
+                result.milliseconds(50),
+                result.milliseconds(99),
+                result.milliseconds(99.9),
+                result.bookingMilliseconds(99),
+                result.tally().answered(),
+                result.tally().refused(),
+                result.tally().failed(),
+                result.tally().unknown(),
+                result.goodput(),
+                result.furtherAttempts(),
+                result.measuringBytesPerSecond(),
+                result.loadAverage());
+    }
+
+    /** Returns the two users' views of each result: their own measures, the weightiest first. */
+    static String views(List<PolicyResult> results) {
+        StringBuilder text = new StringBuilder();
+        for (PolicyResult result : results) {
+            text.append(
+                    String.format(
+                            Locale.ROOT,
+                            "view=bern policy=%s p999_ms=%.2f p99_ms=%.2f booking_p99_ms=%.2f"
+                                    + " measuring_bytes_per_second_per_node=%.0f%n",
+                            result.policy().label(),
+                            result.milliseconds(99.9),
+                            result.milliseconds(99),
+                            result.bookingMilliseconds(99),
+                            result.measuringBytesPerSecond()));
+            text.append(
+                    String.format(
+                            Locale.ROOT,
+                            "view=cotizar-granito policy=%s measuring_bytes_per_weighted_answer=%.2f"
+                                    + " paid_link_bytes_per_second=%.0f"
+                                    + " weighted_answers_per_second=%.0f p99_ms=%.2f%n",
+                            result.policy().label(),
+                            result.measuringBytesPerWeightedAnswer(),
+                            result.paidLinkBytesPerSecond(),
+                            result.weightedAnswersPerSecond(),
+                            result.milliseconds(99)));
+        }
+        return text.toString();
+    }
+
+    /** Returns one JSON object of all figures. */
+    static String json(PolicyResult result) {
+        return new JsonObject()
+                .with("scenario", result.scenario())
+                .with("policy", result.policy().label())
+                .with("seconds", result.seconds())
+                .with("sent", result.tally().sent())
+                .with("p50_ms", result.milliseconds(50))
+                .with("p99_ms", result.milliseconds(99))
+                .with("p999_ms", result.milliseconds(99.9))
+                .with("booking_p99_ms", result.bookingMilliseconds(99))
+                .with("answered", result.tally().answered())
+                .with("refused", result.tally().refused())
+                .with("failed", result.tally().failed())
+                .with("unknown", result.tally().unknown())
+                .with("goodput", result.goodput())
+                .with("weighted_answers_per_second", result.weightedAnswersPerSecond())
+                .with("further_attempts", result.furtherAttempts())
+                .with("measuring_bytes_per_second_per_node", result.measuringBytesPerSecond())
+                .with("paid_link_bytes_per_second", result.paidLinkBytesPerSecond())
+                .with("load_average", result.loadAverage())
+                .toString();
+    }
+}
--- a/bench/src/main/java/org/damaskmoor/bench/load/Schedule.java
+++ b/bench/src/main/java/org/damaskmoor/bench/load/Schedule.java
@@ -12,17 +12,31 @@
  */
 public final class Schedule {
     private static final int ITEMS = 1000;
-    private static final double RESENDING_SHARE = 0.5;
-    private static final double DIRECT_SHARE = 0.2;
 
     private final List<RequestKind> kinds;
     private final RandomGenerator random;
     private final String run;
+    private final Shares shares;
+
+    /**
+     * How callers behave. Immutable.
+     *
+     * @param resending share of bookings that are sent again after an unknown outcome
+     * @param direct share of lookups that go straight to an upstream
+     */
+    public record Shares(double resending, double direct) {
+        /** What the demo's callers do. */
+        public static final Shares DEMO = new Shares(0.5, 0.2);
+
+        /** Every request is sent once and through a node. */
+        public static final Shares ROUTED_ONCE = new Shares(0, 0);
+    }
 
     /**
      * @param run sets this schedule's nonces apart from those of others
      */
-    public Schedule(List<RequestKind> kinds, RandomGenerator random, String run) {
+    public Schedule(List<RequestKind> kinds, RandomGenerator random, String run, Shares shares) {
+        this.shares = shares;
         this.kinds = List.copyOf(kinds);
         this.random = random;
         this.run = run;
@@ -48,8 +62,8 @@
                 kind.booking(),
                 kind.pathPrefix() + "/" + random.nextInt(ITEMS),
                 run + "-" + number,
-                kind.booking() && random.nextDouble() < RESENDING_SHARE,
-                !kind.booking() && random.nextDouble() < DIRECT_SHARE,
+                kind.booking() && random.nextDouble() < shares.resending(),
+                !kind.booking() && random.nextDouble() < shares.direct(),
                 random.nextInt(Integer.MAX_VALUE));
     }
 
--- a/bench/src/main/java/org/damaskmoor/bench/upstream/UpstreamServlet.java
+++ b/bench/src/main/java/org/damaskmoor/bench/upstream/UpstreamServlet.java
@@ -35,6 +35,7 @@
     private final Runnable crash;
     private final RunLedger ledger = new RunLedger();
     private long served;
+    private long heldNanoseconds;
 
     public UpstreamServlet(
             NioReactor reactor,
@@ -99,9 +100,11 @@
         }
         note(request);
         ByteString body = echo(request);
+        long startedAt = System.nanoTime();
         reactor.delay(
                 times.next(now),
                 () -> {
+                    heldNanoseconds += System.nanoTime() - startedAt;
                     release.run();
                     answer.set(Reply.of(200, body).toResponse());
                 });
@@ -126,7 +129,10 @@
 
     private Reply counters() {
         JsonObject counts =
-                new JsonObject().with("served", served).with("waiting", slots.waiting());
+                new JsonObject()
+                        .with("served", served)
+                        .with("held_nanoseconds", heldNanoseconds)
+                        .with("waiting", slots.waiting());
         return Reply.of(200, counts.toString());
     }
 
--- a/bench/src/test/java/org/damaskmoor/bench/load/ScheduleTest.java
+++ b/bench/src/test/java/org/damaskmoor/bench/load/ScheduleTest.java
@@ -13,7 +13,7 @@
                     new RequestKind(1, "/bookings", true, List.of("staff")));
 
     private static List<PlannedCall> plan(long seed) {
-        return new Schedule(KINDS, new Random(seed), "run").plan(200, 5);
+        return new Schedule(KINDS, new Random(seed), "run", Schedule.Shares.DEMO).plan(200, 5);
     }
 
     @Test
--- a/core/src/main/java/org/damaskmoor/core/membership/internal/Prober.java
+++ b/core/src/main/java/org/damaskmoor/core/membership/internal/Prober.java
@@ -73,7 +73,7 @@
 
     private Member nextTarget() {
         List<Member> members = group.table.presentIn(group.region());
-        for (int tries = 0; tries < 2; tries++) {
+        for (int tries = 0; tries < 2 && !members.isEmpty(); tries++) {
             if (cursor >= members.size()) {
                 cursor = 0;
                 group.table.shuffle(group.region());
--- a/node/src/main/java/org/damaskmoor/node/NodeProcess.java
+++ b/node/src/main/java/org/damaskmoor/node/NodeProcess.java
@@ -366,7 +366,7 @@
                 new RoutingDefaults(
                         options,
                         settings.getRetryBudgetPercent(),
-                        nodeOptions.policy()::apply,
+                        nodeOptions.policy(),
                         nodeOptions.furtherAttempts(),
                         nodeOptions.observer()),
                 members,
--- a/node/src/main/java/org/damaskmoor/node/internal/entry/ServiceRuntimes.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/ServiceRuntimes.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.IntFunction;
 import java.util.function.LongSupplier;
 import java.util.function.UnaryOperator;
 import java.util.random.RandomGenerator;
@@ -12,7 +13,6 @@
 import org.damaskmoor.core.id.ServiceName;
 import org.damaskmoor.core.retry.HedgePolicy;
 import org.damaskmoor.core.retry.RetryBudget;
-import org.damaskmoor.core.routing.ChoicePolicies;
 import org.damaskmoor.core.routing.ChoicePolicy;
 import org.damaskmoor.core.routing.Router;
 import org.damaskmoor.core.routing.RoutingOptions;
@@ -49,20 +49,10 @@
     public record RoutingDefaults(
             RoutingOptions options,
             int retryBudgetPercent,
-            ChoicePolicyFactory policy,
+            IntFunction<ChoicePolicy> policy,
             boolean furtherAttempts,
             UnaryOperator<Router> observer) {}
 
-    /** Makes the policy for a number of sampled candidates. */
-    @FunctionalInterface
-    public interface ChoicePolicyFactory {
-        /** What the product uses. */
-        ChoicePolicyFactory PRODUCT = ChoicePolicies::expectedCompletion;
-
-        /** The policy that weighs so many candidates. */
-        ChoicePolicy sampling(int candidates);
-    }
-
     public ServiceRuntimes(
             RegionName region,
             DataCentreName dataCentre,
@@ -138,7 +128,7 @@
                                         region,
                                         dataCentre,
                                         options,
-                                        defaults.policy().sampling(options.sampledCandidates()),
+                                        defaults.policy().apply(options.sampledCandidates()),
                                         random));
         router.updateTargets(members.targets(service), now);
         RetryBudget budget = retryBudget(configuration.getRetry(), now);
