--- a/bench/src/main/java/org/damaskmoor/bench/BenchMain.java
+++ b/bench/src/main/java/org/damaskmoor/bench/BenchMain.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.Callable;
 import org.damaskmoor.bench.demo.DemoCommand;
 import org.damaskmoor.bench.demo.LoadCommand;
+import org.damaskmoor.bench.experiment.AddedLatencyCommand;
 import org.damaskmoor.bench.experiment.ExperimentCommand;
 import org.damaskmoor.bench.link.EmulatedNode;
 import org.damaskmoor.bench.platform.PlatformStandInCommand;
@@ -55,6 +56,7 @@
                 .withCommand(DemoCommand.class)
                 .withCommand(LoadCommand.class)
                 .withCommand(ExperimentCommand.class)
+                .withCommand(AddedLatencyCommand.class)
                 .withCommand(PlatformStandInCommand.class)
                 .withCommand(UpstreamStandInCommand.class)
                 .build();
