--- a/bench/src/main/java/org/damaskmoor/bench/experiment/PolicyRun.java
+++ b/bench/src/main/java/org/damaskmoor/bench/experiment/PolicyRun.java
@@ -17,7 +17,7 @@
  * <p>Used by one thread.
  */
 final class PolicyRun {
-    private static final double WARM_UP_SECONDS = 3;
+    private static final double WARM_UP_SECONDS = 5;
     private static final long SETTLE_MILLISECONDS = 1500;
 
     private final Scenario scenario;
--- a/core/src/main/java/org/damaskmoor/core/routing/internal/ServiceRouter.java
+++ b/core/src/main/java/org/damaskmoor/core/routing/internal/ServiceRouter.java
@@ -37,6 +37,9 @@
 public final class ServiceRouter implements Router {
     private static final double FAILING_FROM_RATE = 0.5;
 
+    /** Time in which a node that has just started gets to know the other members. */
+    private static final long JOINING_NANOSECONDS = TimeUnit.SECONDS.toNanos(5);
+
     private final RegionName region;
     private final DataCentreName dataCentre;
     private final RoutingOptions options;
@@ -46,6 +49,7 @@
     private final Map<RegionName, RegionPrior> priors = new HashMap<>();
     private Map<TargetId, TargetState> states = new HashMap<>();
     private boolean targetsKnown;
+    private long firstKnownAtNanoseconds;
     private long choices;
 
     public ServiceRouter(
@@ -73,7 +77,10 @@
             }
         }
         states = updated;
-        targetsKnown = targetsKnown || !updated.isEmpty();
+        if (!targetsKnown && !updated.isEmpty()) {
+            targetsKnown = true;
+            firstKnownAtNanoseconds = now;
+        }
         sampler.replace(near.toArray(new TargetState[0]), far.toArray(new TargetState[0]));
         headroom.invalidate();
     }
@@ -209,7 +216,10 @@
         return new Choice(state.target(), state.distance(), expected);
     }
 
-    /** Targets of the first snapshot are not cold: it is this node that is new, not they. */
+    /**
+     * Targets that become known while this node itself joins are not cold: it is this node that is
+     * new, not they.
+     */
     private TargetState stateFor(Target target, long now) {
         TargetState known = states.get(target.id());
         if (known != null) {
@@ -222,7 +232,7 @@
                         distanceOf(target),
                         priorOf(target.region()),
                         options.slowStartNanoseconds());
-        if (targetsKnown) {
+        if (targetsKnown && now - firstKnownAtNanoseconds >= JOINING_NANOSECONDS) {
             state.startCold(now);
         }
         return state;
--- a/node/src/main/java/org/damaskmoor/node/NodeProcess.java
+++ b/node/src/main/java/org/damaskmoor/node/NodeProcess.java
@@ -29,6 +29,7 @@
 import org.damaskmoor.node.internal.entry.EntryParts;
 import org.damaskmoor.node.internal.entry.MeshCarrier;
 import org.damaskmoor.node.internal.entry.ServiceRuntimes;
+import org.damaskmoor.node.internal.load.LoadMeasuring;
 import org.damaskmoor.node.internal.members.JoinPoints;
 import org.damaskmoor.node.internal.members.MemberDirectory;
 import org.damaskmoor.node.internal.members.MembershipDuty;
@@ -69,7 +70,6 @@
     private static final long CLAIM_RELEASE_PAUSE_MILLISECONDS = 1_000;
 
     private final NodeSettings settings;
-    private final NodeOptions nodeOptions;
     private final NodeParameters parameters;
     private final NodeId self;
     private final DutyLoop callerLoop = new DutyLoop("callers");
@@ -78,6 +78,7 @@
     private final DutyLoop accountingLoop = new DutyLoop("accounting");
     private final MetricRegistry metrics = new MetricRegistry();
     private final MemberDirectory members = new MemberDirectory();
+    private final LoadMeasuring loads;
     private final PlatformClient platform;
     private final NettyMeshTransport mesh;
     private final GossipTransport gossip;
@@ -103,8 +104,8 @@
     public NodeProcess(
             NodeSettings settings, ChannelCustomizer customizer, NodeOptions nodeOptions) {
         this.settings = settings;
-        this.nodeOptions = nodeOptions;
-        this.parameters = new NodeParameters(settings);
+        this.loads = new LoadMeasuring(settings, metrics, members, System::nanoTime);
+        this.parameters = new NodeParameters(settings, nodeOptions);
         this.self = new NodeId(settings.getNodeId());
         Incarnation incarnation = new Incarnation(System.currentTimeMillis());
         platform = new PlatformClient(PlatformClientLimits.defaults(), new SplittableRandom());
@@ -178,7 +179,7 @@
         target.drain();
         long deadline =
                 monotonicMilliseconds() + Math.max(0, settings.getDrainTimeoutMilliseconds());
-        return CompletableFuture.runAsync(() -> {}, later(LEAVE_NOTICE_MILLISECONDS))
+        return pause(LEAVE_NOTICE_MILLISECONDS)
                 .thenCompose(noticed -> entry.stop())
                 .thenCompose(closed -> whenTargetIdle(deadline))
                 .thenCompose(idle -> accounting.flush(deadline - monotonicMilliseconds()))
@@ -196,19 +197,19 @@
                             if (idle || monotonicMilliseconds() >= deadlineMilliseconds) {
                                 return CompletableFuture.completedFuture(null);
                             }
-                            return CompletableFuture.runAsync(
-                                            () -> {}, later(IDLE_CHECK_MILLISECONDS))
+                            return pause(IDLE_CHECK_MILLISECONDS)
                                     .thenCompose(waited -> whenTargetIdle(deadlineMilliseconds));
                         });
     }
 
+    private static CompletableFuture<Void> pause(long milliseconds) {
+        return CompletableFuture.runAsync(() -> {}, later(milliseconds));
+    }
+
     private CompletableFuture<Void> leave() {
         return controlLoop
                 .submit(() -> membership.protocol().leave(monotonicMilliseconds()))
-                .thenCompose(
-                        told ->
-                                CompletableFuture.runAsync(
-                                        () -> {}, later(LEAVE_NOTICE_MILLISECONDS)));
+                .thenCompose(told -> pause(LEAVE_NOTICE_MILLISECONDS));
     }
 
     private void stopLoops() {
@@ -297,6 +298,7 @@
                 System::nanoTime,
                 System::currentTimeMillis,
                 claims(incarnation),
+                loads.reports()::reportFor,
                 this::onUpstreamStatus);
     }
 
@@ -319,7 +321,7 @@
                         mesh,
                         frame -> target.offer(selfLink, frame),
                         (frame, reason) -> entry().onUnsent(frame, reason));
-        ServiceRuntimes runtimes = serviceRuntimes();
+        ServiceRuntimes runtimes = serviceRuntimes(carrier);
         EntryParts parts =
                 new EntryParts(
                         System::nanoTime,
@@ -342,11 +344,11 @@
         return accounting;
     }
 
-    private ServiceRuntimes serviceRuntimes() {
+    private ServiceRuntimes serviceRuntimes(MeshCarrier carrier) {
         return new ServiceRuntimes(
                 new RegionName(settings.getRegion()),
                 new DataCentreName(settings.getDataCentre()),
-                parameters.routing(nodeOptions),
+                parameters.routing(loads.probes(callerLoop, carrier::send)),
                 members,
                 System::nanoTime,
                 new SplittableRandom(),
--- a/node/src/main/java/org/damaskmoor/node/internal/NodeParameters.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/NodeParameters.java
@@ -12,6 +12,7 @@
 import org.damaskmoor.node.internal.entry.EntryDuty.EntrySettings;
 import org.damaskmoor.node.internal.entry.EntryLimits;
 import org.damaskmoor.node.internal.entry.ServiceRuntimes.RoutingDefaults;
+import org.damaskmoor.node.internal.load.LoadProbes;
 import org.damaskmoor.node.internal.target.TargetDuty.TargetLimits;
 import org.damaskmoor.schema.gossip.MemberRecord;
 import org.damaskmoor.schema.gossip.MemberState;
@@ -29,8 +30,10 @@
     private static final Duration SILENCE_TIMEOUT = Duration.ofSeconds(1);
 
     private final NodeSettings settings;
+    private final NodeOptions nodeOptions;
 
-    public NodeParameters(NodeSettings settings) {
+    public NodeParameters(NodeSettings settings, NodeOptions nodeOptions) {
+        this.nodeOptions = nodeOptions;
         this.settings = settings;
     }
 
@@ -71,7 +74,7 @@
     }
 
     /** Routing of services that set nothing. */
-    public RoutingDefaults routing(NodeOptions nodeOptions) {
+    public RoutingDefaults routing(LoadProbes probes) {
         RoutingOptions options =
                 new RoutingOptions(
                         settings.getSampledCandidates(),
@@ -82,7 +85,7 @@
                 settings.getRetryBudgetPercent(),
                 nodeOptions.policy(),
                 nodeOptions.furtherAttempts(),
-                nodeOptions.observer());
+                (service, router) -> probes.around(service, nodeOptions.observer().apply(router)));
     }
 
     /** What other nodes are told of this one at its start. */
--- a/node/src/main/java/org/damaskmoor/node/internal/entry/ServiceRuntimes.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/ServiceRuntimes.java
@@ -2,9 +2,9 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.BiFunction;
 import java.util.function.IntFunction;
 import java.util.function.LongSupplier;
-import java.util.function.UnaryOperator;
 import java.util.random.RandomGenerator;
 import org.damaskmoor.core.configuration.MatchedService;
 import org.damaskmoor.core.configuration.ServiceMatcher;
@@ -51,7 +51,7 @@
             int retryBudgetPercent,
             IntFunction<ChoicePolicy> policy,
             boolean furtherAttempts,
-            UnaryOperator<Router> observer) {}
+            BiFunction<ServiceName, Router, Router> observer) {}
 
     public ServiceRuntimes(
             RegionName region,
@@ -124,6 +124,7 @@
         Router router =
                 defaults.observer()
                         .apply(
+                                service,
                                 Router.create(
                                         region,
                                         dataCentre,
--- /dev/null
+++ b/node/src/main/java/org/damaskmoor/node/internal/load/LoadProbes.java
@@ -0,0 +1,89 @@
+package org.damaskmoor.node.internal.load;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.LongSupplier;
+import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.core.id.RegionName;
+import org.damaskmoor.core.id.ServiceName;
+import org.damaskmoor.core.load.MeasuringBudget;
+import org.damaskmoor.core.load.MeasuringKind;
+import org.damaskmoor.core.load.ProbePlanner;
+import org.damaskmoor.core.routing.Router;
+import org.damaskmoor.core.routing.TargetId;
+import org.damaskmoor.schema.mesh.LoadProbe;
+import org.damaskmoor.schema.mesh.MeshFrame;
+
+/**
+ * Asks targets for their load where no answer has told of it for a while, within a byte budget.
+ *
+ * <pre>{@code
+ * Router router = probes.around(service, Router.create(...));
+ * loop.every(LoadProbes.TICK_MILLISECONDS, probes::tick);
+ * }</pre>
+ *
+ * <p>Confined to the caller event loop. Invariant: all services share one budget.
+ */
+public final class LoadProbes {
+    /** How often {@link #tick} is to be called. */
+    public static final long TICK_MILLISECONDS = 100;
+
+    private final NodeId self;
+    private final RegionName region;
+    private final MeasuringBudget budget;
+    private final MeasuringCounters counters;
+    private final BiConsumer<NodeId, MeshFrame> sender;
+    private final LongSupplier clock;
+    private final Map<ServiceName, ProbePlanner> planners = new HashMap<>();
+    private long lastProbe;
+
+    /**
+     * Creates the probes of one entry node.
+     *
+     * @param self this node, which is never probed
+     * @param region the region it stands in
+     * @param bytesPerSecond the budget of all probes; 0: none are sent
+     * @param counters counts what was spent
+     * @param sender sends a frame to a node
+     * @param clock the monotonic clock, in nanoseconds
+     */
+    public LoadProbes(
+            NodeId self,
+            RegionName region,
+            long bytesPerSecond,
+            MeasuringCounters counters,
+            BiConsumer<NodeId, MeshFrame> sender,
+            LongSupplier clock) {
+        this.self = self;
+        this.region = region;
+        this.budget = new MeasuringBudget(bytesPerSecond, clock.getAsLong());
+        this.counters = counters;
+        this.sender = sender;
+        this.clock = clock;
+    }
+
+    /** The router of a service, watched for what it hears of its targets. */
+    public Router around(ServiceName service, Router router) {
+        ProbePlanner planner = new ProbePlanner(region, budget);
+        planners.put(service, planner);
+        return new WatchedRouter(router, planner, self);
+    }
+
+    /** Sends the probes that are due. */
+    public void tick() {
+        long now = clock.getAsLong();
+        for (ProbePlanner planner : planners.values()) {
+            for (TargetId target : planner.plan(now)) {
+                counters.withinRegion(MeasuringKind.PROBE, ProbePlanner.PROBE_BYTES);
+                sender.accept(target.node(), probe());
+            }
+        }
+    }
+
+    private MeshFrame probe() {
+        return MeshFrame.newBuilder()
+                .setLoadProbe(LoadProbe.newBuilder().setProbeId(++lastProbe))
+                .build();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/damaskmoor/node/internal/load/LoadReports.java
@@ -0,0 +1,70 @@
+package org.damaskmoor.node.internal.load;
+
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
+import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.core.load.MeasuringBudget;
+import org.damaskmoor.core.load.MeasuringKind;
+import org.damaskmoor.schema.mesh.LoadReport;
+
+/**
+ * Decides which answers and refusals carry a load report, within a byte budget.
+ *
+ * <p>Confined to the upstream event loop. Invariant: bytes of reports to other nodes stay within
+ * the budget; without budget an answer carries an empty report, which says nothing.
+ */
+public final class LoadReports {
+    /** What a node may spend on measuring in all. */
+    public static final long MEASURING_BYTES_PER_SECOND = 3_000;
+
+    /** Field number and length of the report within the frame that it rides on. */
+    private static final int FIELD_BYTES = 2;
+
+    private final NodeId self;
+    private final Predicate<NodeId> inOtherRegion;
+    private final MeasuringBudget budget;
+    private final MeasuringCounters counters;
+    private final LongSupplier clock;
+
+    /**
+     * Creates the decision of one target.
+     *
+     * @param self this node, to which reports cost nothing
+     * @param inOtherRegion whether the paid link leads to a node
+     * @param probeBytesPerSecond what probes may take of the node's budget
+     * @param counters counts what was spent
+     * @param clock the monotonic clock, in nanoseconds
+     */
+    public LoadReports(
+            NodeId self,
+            Predicate<NodeId> inOtherRegion,
+            long probeBytesPerSecond,
+            MeasuringCounters counters,
+            LongSupplier clock) {
+        this.self = self;
+        this.inOtherRegion = inOtherRegion;
+        this.budget =
+                new MeasuringBudget(
+                        Math.max(0, MEASURING_BYTES_PER_SECOND - probeBytesPerSecond),
+                        clock.getAsLong());
+        this.counters = counters;
+        this.clock = clock;
+    }
+
+    /** The report as the peer gets it: whole, or empty when the budget is used up. */
+    public LoadReport reportFor(NodeId peer, LoadReport report) {
+        if (self.equals(peer)) {
+            return report;
+        }
+        int bytes = FIELD_BYTES + report.getSerializedSize();
+        if (!budget.trySpend(MeasuringKind.REPORT, bytes, clock.getAsLong())) {
+            return LoadReport.getDefaultInstance();
+        }
+        if (peer != null && inOtherRegion.test(peer)) {
+            counters.overPaidLink(MeasuringKind.REPORT, bytes);
+        } else {
+            counters.withinRegion(MeasuringKind.REPORT, bytes);
+        }
+        return report;
+    }
+}
--- a/node/src/main/java/org/damaskmoor/node/internal/members/MemberDirectory.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/members/MemberDirectory.java
@@ -54,6 +54,11 @@
         return Optional.ofNullable(snapshot.byNode().get(node));
     }
 
+    /** Whether a node is known to stand in the region. */
+    public boolean isInRegion(NodeId node, String region) {
+        return member(node).filter(known -> known.getRegion().equals(region)).isPresent();
+    }
+
     /** Whether a record's node is a member in the same incarnation. */
     public boolean isCurrent(MemberRecord record) {
         return !record.getNodeId().isEmpty()
--- a/node/src/main/java/org/damaskmoor/node/internal/target/TargetDispatcher.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/target/TargetDispatcher.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
 import org.damaskmoor.core.admission.AdmissionController;
 import org.damaskmoor.core.admission.AdmissionOutcome;
 import org.damaskmoor.core.admission.NextAdmissions;
@@ -13,6 +14,7 @@
 import org.damaskmoor.core.admission.Refusal;
 import org.damaskmoor.core.id.CallerName;
 import org.damaskmoor.core.id.Incarnation;
+import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.core.id.RequestId;
 import org.damaskmoor.core.id.ServiceName;
 import org.damaskmoor.core.once.Acceptance;
@@ -26,6 +28,7 @@
 import org.damaskmoor.schema.mesh.Call;
 import org.damaskmoor.schema.mesh.CallAnswer;
 import org.damaskmoor.schema.mesh.CancelCall;
+import org.damaskmoor.schema.mesh.LoadReport;
 import org.damaskmoor.schema.mesh.MeshFrame;
 import org.damaskmoor.schema.mesh.RefusalReason;
 import org.damaskmoor.schema.mesh.SealRequest;
@@ -59,14 +62,15 @@
             UpstreamRegistration upstream,
             UpstreamClient client,
             ClaimService claims,
-            TargetTiming timing) {
+            TargetTiming timing,
+            BiFunction<NodeId, LoadReport, LoadReport> reports) {
         this.ledger = ledger;
         this.admission = admission;
         this.upstream = upstream;
         this.client = client;
         this.claims = new HeldClaims(claims);
         this.timing = timing;
-        this.waiters = new Waiters(() -> admission.loadReport(timing.now()));
+        this.waiters = new Waiters(peer -> reports.apply(peer, admission.loadReport(timing.now())));
     }
 
     /** Takes a frame from an entry node. */
--- a/node/src/main/java/org/damaskmoor/node/internal/target/TargetDuty.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/target/TargetDuty.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.damaskmoor.core.admission.AdmissionController;
@@ -10,6 +11,7 @@
 import org.damaskmoor.core.configuration.MatchedService;
 import org.damaskmoor.core.configuration.ServiceMatcher;
 import org.damaskmoor.core.id.Incarnation;
+import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.core.id.ServiceName;
 import org.damaskmoor.core.once.LedgerLimits;
 import org.damaskmoor.core.once.TargetLedger;
@@ -67,6 +69,7 @@
      * @param clock the monotonic clock, in nanoseconds
      * @param epochMilliseconds the wall clock
      * @param claims claims idempotency keys
+     * @param reports the report that a node is sent, from the whole one
      * @param onStatus told of each change of the upstream's state, on the upstream event loop
      */
     public TargetDuty(
@@ -76,6 +79,7 @@
             LongSupplier clock,
             LongSupplier epochMilliseconds,
             ClaimService claims,
+            BiFunction<NodeId, LoadReport, LoadReport> reports,
             Consumer<UpstreamStatus> onStatus) {
         this.loop = loop;
         this.clock = clock;
@@ -96,7 +100,8 @@
                         new HttpUpstreamClient(loop.loop(), limits.maximumBodyBytes()),
                         claims,
                         new TargetTiming(
-                                clock, epochMilliseconds, limits.keyRetentionMilliseconds()));
+                                clock, epochMilliseconds, limits.keyRetentionMilliseconds()),
+                        reports);
         this.mailbox = new BoundedMailbox<>(RING_FRAMES, loop::execute, this::take, () -> {});
         loop.every(TICK_MILLISECONDS, this::tick);
     }
--- a/node/src/main/java/org/damaskmoor/node/internal/target/Waiters.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/target/Waiters.java
@@ -5,7 +5,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Supplier;
+import java.util.function.Function;
+import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.core.id.RequestId;
 import org.damaskmoor.core.once.CallState;
 import org.damaskmoor.schema.mesh.CallAnswer;
@@ -19,10 +20,11 @@
  * was heard of last; an outcome that can't be sent is asked for again by the entry node.
  */
 final class Waiters {
-    private final Supplier<LoadReport> load;
+    private final Function<NodeId, LoadReport> load;
     private final Map<RequestId, Waiter> waiting = new HashMap<>();
 
-    Waiters(Supplier<LoadReport> load) {
+    /** Tells waiters the outcomes, each with the report that its node gets. */
+    Waiters(Function<NodeId, LoadReport> load) {
         this.load = load;
     }
 
@@ -38,7 +40,8 @@
     void tellAnswer(RequestId id, CallAnswer answer) {
         Waiter waiter = waiting.remove(id);
         if (waiter != null) {
-            waiter.link().send(TargetFrames.answer(waiter, answer, load.get()));
+            waiter.link()
+                    .send(TargetFrames.answer(waiter, answer, load.apply(waiter.link().peer())));
         }
     }
 
@@ -57,7 +60,7 @@
     }
 
     void sendRefusal(Waiter waiter, CallRefusal refusal) {
-        waiter.link().send(TargetFrames.refused(waiter, refusal, load.get()));
+        waiter.link().send(TargetFrames.refused(waiter, refusal, load.apply(waiter.link().peer())));
     }
 
     /** Sends an outcome that is known already. */
@@ -67,14 +70,15 @@
             sendRefusal(waiter, CallRefusal.of(RefusalReason.SEALED_AFTER_SILENCE));
         } else if (state == CallState.ANSWERED && kept) {
             CallAnswer parsed = parse(answer.get());
-            waiter.link().send(TargetFrames.answer(waiter, parsed, load.get()));
+            waiter.link()
+                    .send(TargetFrames.answer(waiter, parsed, load.apply(waiter.link().peer())));
         } else {
             sendFailure(waiter, "its answer is no longer kept");
         }
     }
 
     private void sendFailure(Waiter waiter, String detail) {
-        waiter.link().send(TargetFrames.failed(waiter, detail, load.get()));
+        waiter.link().send(TargetFrames.failed(waiter, detail, load.apply(waiter.link().peer())));
     }
 
     private static CallAnswer parse(ByteString kept) {
