--- a/bench/src/main/java/org/damaskmoor/bench/experiment/ExperimentCommand.java
+++ b/bench/src/main/java/org/damaskmoor/bench/experiment/ExperimentCommand.java
@@ -45,7 +45,7 @@
     @Override
     public Integer call() throws Exception {
         System.setProperty("java.awt.headless", "true");
-        NODE_LOG.setLevel(Level.parse(System.getProperty("nodelog", "SEVERE")));
+        NODE_LOG.setLevel(Level.SEVERE);
         List<Scenario> scenarios = chosenScenarios();
         List<Policy> chosen = chosenPolicies();
         Path directory = Files.createDirectories(Path.of(outputDirectory));
--- a/bench/src/main/java/org/damaskmoor/bench/experiment/Policy.java
+++ b/bench/src/main/java/org/damaskmoor/bench/experiment/Policy.java
@@ -1,7 +1,6 @@
 package org.damaskmoor.bench.experiment;
 
 import java.util.Locale;
-import java.util.function.IntFunction;
 import java.util.function.UnaryOperator;
 import org.damaskmoor.core.routing.ChoicePolicies;
 import org.damaskmoor.core.routing.ChoicePolicy;
@@ -11,23 +10,15 @@
 /** The product's policy and the baselines, which neither retry nor hedge nor eject. */
 public enum Policy {
     /** What the shipped node runs. */
-    PRODUCT(ChoicePolicies::expectedCompletion, true),
+    PRODUCT,
     /** Any upstream. */
-    RANDOM(candidates -> ChoicePolicies.random(), false),
+    RANDOM,
     /** Each upstream in turn. */
-    ROUND_ROBIN(candidates -> ChoicePolicies.roundRobin(), false),
+    ROUND_ROBIN,
     /** The upstream with the fewest own requests. */
-    LEAST_OWN_REQUESTS(candidates -> ChoicePolicies.leastOwnRequests(), false),
+    LEAST_OWN_REQUESTS,
     /** The better of two upstreams by own requests; what the bounds speak of. */
-    TWO_CHOICES(candidates -> ChoicePolicies.twoChoices(), false);
-
-    private final IntFunction<ChoicePolicy> choice;
-    private final boolean product;
-
-    Policy(IntFunction<ChoicePolicy> choice, boolean product) {
-        this.choice = choice;
-        this.product = product;
-    }
+    TWO_CHOICES;
 
     /** Returns the policy's name on the command line and in results. */
     public String label() {
@@ -50,6 +41,17 @@
 
     /** Returns what a node that runs this policy is started with. */
     NodeOptions options(UnaryOperator<Router> observer) {
-        return new NodeOptions(choice, product, product, observer);
+        boolean product = this == PRODUCT;
+        return new NodeOptions(this::choice, product, product, observer);
+    }
+
+    private ChoicePolicy choice(int candidates) {
+        return switch (this) {
+            case PRODUCT -> ChoicePolicies.expectedCompletion(candidates);
+            case RANDOM -> ChoicePolicies.random();
+            case ROUND_ROBIN -> ChoicePolicies.roundRobin();
+            case LEAST_OWN_REQUESTS -> ChoicePolicies.leastOwnRequests();
+            case TWO_CHOICES -> ChoicePolicies.twoChoices();
+        };
     }
 }
--- a/bench/src/main/java/org/damaskmoor/bench/experiment/PolicyResult.java
+++ b/bench/src/main/java/org/damaskmoor/bench/experiment/PolicyResult.java
@@ -6,9 +6,10 @@
 /**
  * What one policy gave in one scenario.
  *
- * <p>Immutable, but for the histogram in the tally, which nobody changes.
+ * <p>Immutable, but for the histograms in the tallies, which nobody changes.
  *
  * @param tally what callers experienced
+ * @param inTime the part of it that ended while the load lasted
  * @param counters what nodes and upstreams counted meanwhile
  * @param seconds length of the measured load
  * @param nodes number of nodes
@@ -19,6 +20,7 @@
         String scenario,
         Policy policy,
         Tally tally,
+        Tally inTime,
         SiteCounters counters,
         double seconds,
         int nodes,
@@ -31,6 +33,10 @@
         return milliseconds(tally.latencies(), percentile);
     }
 
+    double lookupMilliseconds(double percentile) {
+        return milliseconds(tally.lookups(), percentile);
+    }
+
     double bookingMilliseconds(double percentile) {
         return milliseconds(tally.bookings(), percentile);
     }
@@ -51,7 +57,7 @@
 
     /** Returns the answers weighted by importance as a share of what was possible. */
     double goodput() {
-        return tally.goodput(capacityRequests());
+        return tally.goodput(capacityRequests(), inTime);
     }
 
     /** Returns retries and hedges. */
--- a/bench/src/main/java/org/damaskmoor/bench/experiment/PolicyRun.java
+++ b/bench/src/main/java/org/damaskmoor/bench/experiment/PolicyRun.java
@@ -2,8 +2,11 @@
 
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.damaskmoor.bench.experiment.Scenario.FaultKind;
 import org.damaskmoor.bench.load.CallRecord;
 import org.damaskmoor.bench.load.LoadRun;
@@ -35,22 +38,28 @@
         try (ExperimentSite site = new ExperimentSite(scenario, seed)) {
             site.start(policy, cold ? scenario.fault().upstreams() : 0);
             Thread.sleep(SETTLE_MILLISECONDS);
-            load(site, "warm", WARM_UP_SECONDS);
+            load(site, "warm", WARM_UP_SECONDS, new ArrayList<>());
             SiteCounters before = site.counters();
             List<CallRecord> records;
+            List<CallRecord> inTime = new ArrayList<>();
             try (FaultInjector faults = new FaultInjector(scenario.fault(), site, seed)) {
                 faults.start();
-                records = load(site, "load", seconds);
+                records = load(site, "load", seconds, inTime);
             }
-            return result(policy, records, site.counters().since(before));
+            return result(policy, records, inTime, site.counters().since(before));
         }
     }
 
-    private PolicyResult result(Policy policy, List<CallRecord> records, SiteCounters counters) {
+    private PolicyResult result(
+            Policy policy,
+            List<CallRecord> records,
+            List<CallRecord> inTime,
+            SiteCounters counters) {
         return new PolicyResult(
                 scenario.name(),
                 policy,
                 new Tally(records),
+                new Tally(inTime),
                 counters,
                 seconds,
                 scenario.upstreams(),
@@ -58,7 +67,9 @@
                 ManagementFactory.getOperatingSystemMXBean().getSystemLoadAverage());
     }
 
-    private List<CallRecord> load(ExperimentSite site, String stage, double length)
+    /** Sends a schedule; adds to the list what ends while the schedule lasts. */
+    private List<CallRecord> load(
+            ExperimentSite site, String stage, double length, List<CallRecord> inTime)
             throws InterruptedException {
         Schedule schedule =
                 new Schedule(
@@ -67,6 +78,14 @@
                         stage + "-" + seed,
                         Shares.ROUTED_ONCE);
         List<PlannedCall> calls = schedule.plan(scenario.requestsPerSecond(), length);
-        return new LoadRun(site.entries(), site.upstreamUrls(), line -> {}).run(calls);
+        long end = System.nanoTime() + (long) (length * TimeUnit.SECONDS.toNanos(1));
+        Consumer<CallRecord> watcher = line -> addInTime(line, end, inTime);
+        return new LoadRun(site.entries(), site.upstreamUrls(), watcher).run(calls);
+    }
+
+    private static void addInTime(CallRecord line, long endNanoseconds, List<CallRecord> inTime) {
+        if (System.nanoTime() <= endNanoseconds) {
+            inTime.add(line);
+        }
     }
 }
--- a/bench/src/main/java/org/damaskmoor/bench/experiment/ResultTable.java
+++ b/bench/src/main/java/org/damaskmoor/bench/experiment/ResultTable.java
@@ -7,9 +7,9 @@
 /** Writes results as a table for people and as JSON lines. Stateless and safe for all threads. */
 final class ResultTable {
     private static final String HEAD =
-            "%-18s %-18s %8s %8s %8s %9s %8s %7s %7s %7s %8s %7s %8s %7s%n";
+            "%-18s %-18s %8s %8s %8s %9s %9s %8s %7s %7s %7s %8s %7s %8s %7s%n";
     private static final String ROW =
-            "%-18s %-18s %8.2f %8.2f %8.2f %9.2f %8d %7d %7d %7d %8.3f %7d %8.0f %7.1f%n";
+            "%-18s %-18s %8.2f %8.2f %8.2f %9.2f %9.2f %8d %7d %7d %7d %8.3f %7d %8.0f %7.1f%n";
 
     private ResultTable() {}
 
@@ -25,6 +25,7 @@
                         "p50_ms",
                         "p99_ms",
                         "p99.9_ms",
+                        "look99.9",
                         "book_p99",
                         "answered",
                         "refused",
@@ -53,6 +54,7 @@
                 result.milliseconds(50),
                 result.milliseconds(99),
                 result.milliseconds(99.9),
+                result.lookupMilliseconds(99.9),
                 result.bookingMilliseconds(99),
                 result.tally().answered(),
                 result.tally().refused(),
@@ -103,6 +105,7 @@
                 .with("p50_ms", result.milliseconds(50))
                 .with("p99_ms", result.milliseconds(99))
                 .with("p999_ms", result.milliseconds(99.9))
+                .with("lookup_p999_ms", result.lookupMilliseconds(99.9))
                 .with("booking_p99_ms", result.bookingMilliseconds(99))
                 .with("answered", result.tally().answered())
                 .with("refused", result.tally().refused())
--- a/bench/src/main/java/org/damaskmoor/bench/experiment/Tally.java
+++ b/bench/src/main/java/org/damaskmoor/bench/experiment/Tally.java
@@ -23,6 +23,7 @@
     private static final String USEFUL = "status-200";
 
     private final Histogram latencies = new Histogram(SIGNIFICANT_DIGITS);
+    private final Histogram lookups = new Histogram(SIGNIFICANT_DIGITS);
     private final Histogram bookings = new Histogram(SIGNIFICANT_DIGITS);
     private final Map<String, Long> reasons = new TreeMap<>();
     private long lookupsSent;
@@ -51,6 +52,7 @@
             bookingsSent++;
             bookingsAnswered += useful ? 1 : 0;
         } else {
+            lookups.recordValue(latency);
             lookupsSent++;
             lookupsAnswered += useful ? 1 : 0;
         }
@@ -72,6 +74,10 @@
         return latencies;
     }
 
+    Histogram lookups() {
+        return lookups;
+    }
+
     Histogram bookings() {
         return bookings;
     }
@@ -108,14 +114,18 @@
     }
 
     /**
-     * Returns the useful answers, weighted by importance, as a share of the best that upstreams
-     * with this capacity can do: the most important requests first, then the others.
+     * Returns the useful answers that came in time, weighted by importance, as a share of the best
+     * that upstreams with this capacity can do: the most important requests first, then the others.
+     *
+     * @param inTime the part of this tally that ended while the load lasted
      */
-    double goodput(double capacityRequests) {
-        double bookingsPossible = Math.min(bookingsSent, capacityRequests);
-        double lookupsPossible = Math.min(lookupsSent, capacityRequests - bookingsPossible);
+    double goodput(double capacityRequests, Tally inTime) {
+        double bookingsPossible = Math.min((double) bookingsSent, capacityRequests);
+        double lookupsPossible =
+                Math.min((double) lookupsSent, capacityRequests - bookingsPossible);
         double possible = importance(lookupsPossible, bookingsPossible);
-        return possible == 0 ? 0 : importance(lookupsAnswered, bookingsAnswered) / possible;
+        double got = importance((double) inTime.lookupsAnswered, (double) inTime.bookingsAnswered);
+        return possible == 0 ? 0 : got / possible;
     }
 
     private static double importance(double lookups, double bookingCount) {
--- /dev/null
+++ b/bench/src/test/java/org/damaskmoor/bench/experiment/VerdictTest.java
@@ -0,0 +1,132 @@
+package org.damaskmoor.bench.experiment;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.damaskmoor.bench.experiment.Scenario.Bound;
+import org.damaskmoor.bench.experiment.Scenario.Fault;
+import org.damaskmoor.bench.experiment.Scenario.FaultKind;
+import org.damaskmoor.bench.experiment.Scenario.Measure;
+import org.damaskmoor.bench.experiment.Scenario.Site;
+import org.damaskmoor.bench.http.JsonObject;
+import org.damaskmoor.bench.load.CallRecord;
+import org.damaskmoor.bench.load.Outcome;
+import org.junit.jupiter.api.Test;
+
+class VerdictTest {
+    private static final double SECONDS = 1;
+
+    @Test
+    void should_tell_met_from_missed_when_the_figure_is_on_either_side_of_the_bound() {
+        // given
+        PolicyResult product = result(Policy.PRODUCT, answered(100, 10), 3001);
+        PolicyResult baseline = result(Policy.TWO_CHOICES, answered(100, 16), 0);
+
+        // when
+        List<Verdict> verdicts =
+                Verdict.of(
+                        scenario(
+                                new Bound(Measure.P99_OF_TWO_CHOICES, 0.63),
+                                new Bound(Measure.P999_OF_TWO_CHOICES, 0.62)),
+                        List.of(product, baseline));
+
+        // then
+        assertThat(verdicts.stream().map(Verdict::word))
+                .containsExactly("met", "missed", "missed", "met")
+                .inOrder();
+    }
+
+    @Test
+    void should_say_not_measured_when_two_choices_were_not_run() {
+        // given
+        PolicyResult product = result(Policy.PRODUCT, answered(100, 10), 0);
+
+        // when
+        List<Verdict> verdicts =
+                Verdict.of(scenario(new Bound(Measure.P99_OF_TWO_CHOICES, 0.5)), List.of(product));
+
+        // then
+        assertThat(verdicts.get(0).word()).isEqualTo("not-measured");
+    }
+
+    @Test
+    void should_count_an_error_as_slow_although_it_came_fast() {
+        // given
+        CallRecord error = call(false, Outcome.ANSWERED, "status-500", 1);
+
+        // when
+        Tally tally = new Tally(List.of(error));
+
+        // then
+        assertThat(tally.answered()).isEqualTo(0);
+        assertThat(tally.failed()).isEqualTo(1);
+        assertThat(tally.latencies().getMaxValue())
+                .isAtLeast(TimeUnit.MILLISECONDS.toNanos(Tally.FAILURE_MILLISECONDS));
+    }
+
+    @Test
+    void should_weigh_goodput_by_importance_against_the_best_that_capacity_allows() {
+        // given
+        List<CallRecord> records = new java.util.ArrayList<>();
+        records.addAll(Collections.nCopies(50, call(true, Outcome.ANSWERED, "status-200", 1)));
+        records.addAll(Collections.nCopies(25, call(false, Outcome.ANSWERED, "status-200", 1)));
+        records.addAll(Collections.nCopies(125, call(false, Outcome.REFUSED, "overloaded", 1)));
+
+        // when
+        Tally tally = new Tally(records);
+
+        // then
+        double best = 50 * 3 + 50;
+        assertThat(tally.goodput(100, tally)).isWithin(1e-9).of((50 * 3 + 25) / best);
+    }
+
+    private static Scenario scenario(Bound... bounds) {
+        return new Scenario(
+                "test",
+                1,
+                List.of(new Site("spiez", "oberland", 1)),
+                10,
+                10,
+                0,
+                List.of("oberland"),
+                new JsonObject(),
+                new Fault(FaultKind.NONE, 0, 1, 0, 0),
+                0,
+                List.of(bounds));
+    }
+
+    private static PolicyResult result(Policy policy, List<CallRecord> records, long measuring) {
+        SiteCounters counters = new SiteCounters(records.size(), 100, 1, measuring, 0);
+        return new PolicyResult(
+                "test",
+                policy,
+                new Tally(records),
+                new Tally(List.of()),
+                counters,
+                SECONDS,
+                1,
+                10,
+                0);
+    }
+
+    private static List<CallRecord> answered(int count, long milliseconds) {
+        return Collections.nCopies(
+                count, call(false, Outcome.ANSWERED, "status-200", milliseconds));
+    }
+
+    private static CallRecord call(
+            boolean booking, Outcome outcome, String reason, long milliseconds) {
+        return new CallRecord(
+                "",
+                1,
+                booking,
+                false,
+                outcome,
+                reason,
+                "",
+                false,
+                TimeUnit.MILLISECONDS.toNanos(milliseconds));
+    }
+}
--- a/core/src/main/java/org/damaskmoor/core/retry/RetryBudget.java
+++ b/core/src/main/java/org/damaskmoor/core/retry/RetryBudget.java
@@ -19,6 +19,7 @@
 public final class RetryBudget {
     private static final double FLOOR_TOKENS_PER_SECOND = 1;
     private static final double BURST_TOKENS = 20;
+    private static final double SHARE_KEPT_FROM_HEDGES = 0.5;
     private static final double NANOSECONDS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
     private static final double PERCENT = 100;
 
@@ -67,6 +68,18 @@
         return true;
     }
 
+    /**
+     * Takes a hedge out of the budget. Hedges leave half of the burst to retries: a hedge only
+     * makes an answer faster, and a retry saves a request from being refused.
+     */
+    boolean tryTakeForHedge(long nowNanoseconds) {
+        fill(nowNanoseconds);
+        if (tokens - 1 < SHARE_KEPT_FROM_HEDGES * burstTokens - ROUNDING) {
+            return false;
+        }
+        return tryTake(nowNanoseconds);
+    }
+
     private void fill(long now) {
         double seconds = Math.max(0, now - filledAtNanoseconds) / NANOSECONDS_PER_SECOND;
         add(seconds * FLOOR_TOKENS_PER_SECOND);
--- a/core/src/main/java/org/damaskmoor/core/routing/internal/ServiceRouter.java
+++ b/core/src/main/java/org/damaskmoor/core/routing/internal/ServiceRouter.java
@@ -232,12 +232,18 @@
                         distanceOf(target),
                         priorOf(target.region()),
                         options.slowStartNanoseconds());
-        if (targetsKnown && now - firstKnownAtNanoseconds >= JOINING_NANOSECONDS) {
+        boolean joining = !targetsKnown || now - firstKnownAtNanoseconds < JOINING_NANOSECONDS;
+        if (!joining || hasRestarted(target)) {
             state.startCold(now);
         }
         return state;
     }
 
+    /** Whether another incarnation of the target's node was known until now. */
+    private boolean hasRestarted(Target target) {
+        return states.keySet().stream().anyMatch(id -> id.node().equals(target.id().node()));
+    }
+
     private Distance distanceOf(Target target) {
         if (!target.region().equals(region)) {
             return Distance.REMOTE;
--- a/core/src/test/java/org/damaskmoor/core/membership/MembershipProtocolTest.java
+++ b/core/src/test/java/org/damaskmoor/core/membership/MembershipProtocolTest.java
@@ -228,6 +228,20 @@
         }
     }
 
+    @Test
+    void should_go_on_without_a_fault_when_all_members_have_left() {
+        // given
+        group.addRegion("mittelland", 3);
+        group.run(10 * SECOND);
+
+        // when
+        group.members.values().forEach(member -> member.protocol.leave(group.now));
+        group.run(60 * SECOND);
+
+        // then
+        assertThat(group.get("mittelland-1").stateOf("mittelland-1")).isEqualTo(MemberState.LEFT);
+    }
+
     @Test
     void should_tell_a_joining_member_everything_when_the_first_peer_is_silent() {
         // given
--- a/core/src/test/java/org/damaskmoor/core/retry/RetryTest.java
+++ b/core/src/test/java/org/damaskmoor/core/retry/RetryTest.java
@@ -151,4 +151,26 @@
         // then
         assertThat(hedging.tryHedge(0)).isFalse();
     }
+
+    @Test
+    void should_leave_retries_half_of_the_burst_when_hedges_want_all() {
+        // given
+        RetryBudget budget = new RetryBudget(0, 0);
+        HedgePolicy hedging = new HedgePolicy(95, budget, 0);
+
+        // when
+        int hedges = 0;
+        while (hedging.tryHedge(0)) {
+            hedges++;
+        }
+        int retries = 0;
+        while (budget.tryTake(0)) {
+            retries++;
+        }
+
+        // then
+        assertThat(hedges).isEqualTo(10);
+        assertThat(retries).isEqualTo(10);
+        assertThat(RetryBudget.none().tryTake(100 * SECOND)).isFalse();
+    }
 }
--- a/core/src/test/java/org/damaskmoor/core/routing/RouterTest.java
+++ b/core/src/test/java/org/damaskmoor/core/routing/RouterTest.java
@@ -154,6 +154,21 @@
         assertThat(fixture.shares(CHOICES)).doesNotContainKey(targets.get(1));
     }
 
+    @Test
+    void should_take_targets_that_it_gets_to_know_while_it_joins_as_warm() {
+        // given
+        List<Target> targets = near(4);
+        router.updateTargets(targets.subList(0, 1), fixture.now);
+
+        // when
+        fixture.advance(2000);
+        router.updateTargets(targets, fixture.now);
+        targets.forEach(target -> router.onLoadHeard(target.id(), load(8, 5), fixture.now));
+
+        // then
+        assertThat(fixture.shares(CHOICES).get(targets.get(3))).isGreaterThan(CHOICES / 8);
+    }
+
     @Test
     void should_ignore_news_of_a_former_incarnation() {
         // given
