--- a/bench/src/main/java/org/damaskmoor/bench/experiment/ResultTable.java
+++ b/bench/src/main/java/org/damaskmoor/bench/experiment/ResultTable.java
@@ -6,11 +6,6 @@
 
 /** Writes results as a table for people and as JSON lines. Stateless and safe for all threads. */
 final class ResultTable {
-    private static final String HEAD =
-            "%-18s %-18s %8s %8s %8s %9s %9s %8s %7s %7s %7s %8s %7s %8s %7s%n";
-    private static final String ROW =
-            "%-18s %-18s %8.2f %8.2f %8.2f %9.2f %9.2f %8d %7d %7d %7d %8.3f %7d %8.0f %7.1f%n";
-
     private ResultTable() {}
 
     /** Returns the table of one scenario. */
@@ -19,7 +14,7 @@
         text.append(
                 String.format(
                         Locale.ROOT,
-                        HEAD,
+                        "%-18s %-18s %8s %8s %8s %9s %9s %8s %7s %7s %7s %8s %7s %8s %7s%n",
                         "scenario",
                         "policy",
                         "p50_ms",
@@ -48,7 +43,7 @@
     private static String row(PolicyResult result) {
         return String.format(
                 Locale.ROOT,
-                ROW,
+                "%-18s %-18s %8.2f %8.2f %8.2f %9.2f %9.2f %8d %7d %7d %7d %8.3f %7d %8.0f %7.1f%n",
                 result.scenario(),
                 result.policy().label(),
                 result.milliseconds(50),
