--- a/bench/src/main/java/org/damaskmoor/bench/experiment/ExperimentSite.java
+++ b/bench/src/main/java/org/damaskmoor/bench/experiment/ExperimentSite.java
@@ -6,11 +6,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
 import org.damaskmoor.bench.demo.PortBlocks;
-import org.damaskmoor.bench.demo.TableServiceApplier;
 import org.damaskmoor.bench.http.BlockingClient;
 import org.damaskmoor.bench.http.EventLoopServer;
 import org.damaskmoor.bench.http.JsonObject;
@@ -63,7 +63,7 @@
         NodeOptions options = policy.options(this::observed);
         for (Place place : places) {
             LinkTable table = new LinkTable(place.dataCentre(), links, System::nanoTime);
-            NodeProcess node = new NodeProcess(settings(place), table, options);
+            NodeProcess node = new NodeProcess(settings(place), Optional.empty(), table, options);
             nodes.add(node);
             node.start().join();
         }
--- a/bench/src/main/java/org/damaskmoor/bench/demo/TableServiceApplier.java
+++ b/bench/src/main/java/org/damaskmoor/bench/experiment/TableServiceApplier.java
@@ -1,4 +1,4 @@
-package org.damaskmoor.bench.demo;
+package org.damaskmoor.bench.experiment;
 
 import java.io.IOException;
 import org.damaskmoor.bench.http.BlockingClient;
@@ -11,23 +11,23 @@
  *
  * <p>Thread safe.
  */
-public final class TableServiceApplier implements ServiceApplier {
+final class TableServiceApplier {
     private final BlockingClient client;
     private final String tableServiceUrl;
 
-    public TableServiceApplier(BlockingClient client, String tableServiceUrl) {
+    TableServiceApplier(BlockingClient client, String tableServiceUrl) {
         this.client = client;
         this.tableServiceUrl = tableServiceUrl;
     }
 
-    @Override
-    public void apply(ServiceConfiguration service) throws IOException {
+    /** Puts the service in force. */
+    void apply(ServiceConfiguration service) throws IOException {
         VersionedConfiguration first =
                 VersionedConfiguration.newBuilder()
                         .setService(service)
                         .setVersion(1)
-                        .setOperationId("demo-" + service.getName())
-                        .setChangedBy("demo")
+                        .setOperationId("experiment-" + service.getName())
+                        .setChangedBy("experiment")
                         .setChangedAtEpochMilliseconds(System.currentTimeMillis())
                         .build();
         Reply reply =
--- a/bench/src/test/java/org/damaskmoor/bench/experiment/VerdictTest.java
+++ b/bench/src/test/java/org/damaskmoor/bench/experiment/VerdictTest.java
@@ -119,6 +119,7 @@
     private static CallRecord call(
             boolean booking, Outcome outcome, String reason, long milliseconds) {
         return new CallRecord(
+                "staff",
                 "",
                 1,
                 booking,
--- a/node/src/main/java/org/damaskmoor/node/NodeProcess.java
+++ b/node/src/main/java/org/damaskmoor/node/NodeProcess.java
@@ -4,14 +4,14 @@
 import com.google.common.flogger.FluentLogger;
 import java.net.InetSocketAddress;
 import java.net.URI;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.damaskmoor.core.configuration.ServiceMatcher;
-import org.damaskmoor.core.id.DataCentreName;
+import org.damaskmoor.core.configuration.ServiceTable;
 import org.damaskmoor.core.id.Incarnation;
 import org.damaskmoor.core.id.NodeId;
-import org.damaskmoor.core.id.RegionName;
 import org.damaskmoor.core.membership.MembershipProtocol;
 import org.damaskmoor.mesh.ChannelCustomizer;
 import org.damaskmoor.mesh.MeshLink;
@@ -38,6 +38,11 @@
 import org.damaskmoor.node.internal.mesh.SelfLink;
 import org.damaskmoor.node.internal.metrics.MetricsText;
 import org.damaskmoor.node.internal.metrics.NodeMetrics;
+import org.damaskmoor.node.internal.operator.OperatorParts;
+import org.damaskmoor.node.internal.operator.OperatorServer;
+import org.damaskmoor.node.internal.security.NodeSecurity;
+import org.damaskmoor.node.internal.stop.PlannedStop;
+import org.damaskmoor.node.internal.stop.StopSteps;
 import org.damaskmoor.node.internal.target.ClaimService;
 import org.damaskmoor.node.internal.target.TargetDuty;
 import org.damaskmoor.node.internal.target.TargetDuty.UpstreamStatus;
@@ -55,7 +60,7 @@
  * One node: the process beside an upstream VM, with all of its duties.
  *
  * <pre>{@code
- * NodeProcess node = new NodeProcess(settings, ChannelCustomizer.NONE);
+ * NodeProcess node = new NodeProcess(settings, Optional.empty(), ChannelCustomizer.NONE);
  * node.start().join();
  * node.stop().join();
  * }</pre>
@@ -65,8 +70,6 @@
  */
 public final class NodeProcess {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final long LEAVE_NOTICE_MILLISECONDS = 1_000;
-    private static final long IDLE_CHECK_MILLISECONDS = 20;
     private static final long CLAIM_RELEASE_PAUSE_MILLISECONDS = 1_000;
 
     private final NodeSettings settings;
@@ -88,28 +91,35 @@
     private final ConfigurationDuty configuration;
     private final MembershipDuty membership;
     private final ControlServer control;
+    private final OperatorServer operators;
     private volatile boolean stopping;
 
     /**
      * Creates a node that is not started.
      *
      * @param settings checked settings
+     * @param security TLS towards other nodes and operators, or empty for none
      * @param customizer changes each channel to other nodes before it is used
      */
-    public NodeProcess(NodeSettings settings, ChannelCustomizer customizer) {
-        this(settings, customizer, NodeOptions.PRODUCT);
+    public NodeProcess(
+            NodeSettings settings, Optional<NodeSecurity> security, ChannelCustomizer customizer) {
+        this(settings, security, customizer, NodeOptions.PRODUCT);
     }
 
     /** Creates a node that a benchmark has changed. */
     public NodeProcess(
-            NodeSettings settings, ChannelCustomizer customizer, NodeOptions nodeOptions) {
+            NodeSettings settings,
+            Optional<NodeSecurity> security,
+            ChannelCustomizer customizer,
+            NodeOptions options) {
         this.settings = settings;
         this.loads = new LoadMeasuring(settings, metrics, members, System::nanoTime);
-        this.parameters = new NodeParameters(settings, nodeOptions);
+        this.parameters = new NodeParameters(settings, security, options);
         this.self = new NodeId(settings.getNodeId());
         Incarnation incarnation = new Incarnation(System.currentTimeMillis());
         platform = new PlatformClient(PlatformClientLimits.defaults(), new SplittableRandom());
         TableService tables = platform.tableService(URI.create(settings.getTableServiceUrl()));
+        ServiceTable serviceTable = new PlatformServiceTable(tables);
         mesh =
                 new NettyMeshTransport(
                         parameters.mesh(incarnation), new FrameRouter(receivers()), customizer);
@@ -128,7 +138,7 @@
                         controlLoop::execute,
                         members,
                         mesh,
-                        new PlatformServiceTable(tables),
+                        serviceTable,
                         version -> membership().protocol().spread(version),
                         this::onConfiguration);
         membership =
@@ -153,6 +163,7 @@
                         this::isReady,
                         target::drain,
                         new MetricsText(metrics));
+        operators = operatorServer(serviceTable);
     }
 
     /** Opens all ports and joins the other nodes; completes when the ports are open. */
@@ -160,6 +171,7 @@
         return mesh.start()
                 .thenCompose(done -> gossip.start())
                 .thenCompose(address -> control.start())
+                .thenCompose(done -> operators.start())
                 .thenCompose(done -> entry.start())
                 .thenRun(this::startTicks);
     }
@@ -176,40 +188,30 @@
     public CompletableFuture<Void> stop() {
         stopping = true;
         logger.atInfo().log("event=node-stopping node=%s", self);
-        target.drain();
-        long deadline =
-                monotonicMilliseconds() + Math.max(0, settings.getDrainTimeoutMilliseconds());
-        return pause(LEAVE_NOTICE_MILLISECONDS)
-                .thenCompose(noticed -> entry.stop())
-                .thenCompose(closed -> whenTargetIdle(deadline))
-                .thenCompose(idle -> accounting.flush(deadline - monotonicMilliseconds()))
-                .thenCompose(flushed -> leave())
-                .thenCompose(left -> control.stop())
-                .thenCompose(stopped -> mesh.stop())
-                .thenCompose(stopped -> gossip.close())
+        StopSteps steps =
+                new StopSteps(
+                        target::drain,
+                        entry::stop,
+                        target::isIdle,
+                        accounting::flush,
+                        this::leave,
+                        this::closePorts);
+        long drain = settings.getDrainTimeoutMilliseconds();
+        return new PlannedStop(steps, drain, NodeProcess::monotonicMilliseconds)
+                .run()
                 .thenRun(this::stopLoops);
     }
 
-    private CompletableFuture<Void> whenTargetIdle(long deadlineMilliseconds) {
-        return target.isIdle()
-                .thenCompose(
-                        idle -> {
-                            if (idle || monotonicMilliseconds() >= deadlineMilliseconds) {
-                                return CompletableFuture.completedFuture(null);
-                            }
-                            return pause(IDLE_CHECK_MILLISECONDS)
-                                    .thenCompose(waited -> whenTargetIdle(deadlineMilliseconds));
-                        });
-    }
-
-    private static CompletableFuture<Void> pause(long milliseconds) {
-        return CompletableFuture.runAsync(() -> {}, later(milliseconds));
+    private CompletableFuture<Void> leave() {
+        return controlLoop.submit(() -> membership.protocol().leave(monotonicMilliseconds()));
     }
 
-    private CompletableFuture<Void> leave() {
-        return controlLoop
-                .submit(() -> membership.protocol().leave(monotonicMilliseconds()))
-                .thenCompose(told -> pause(LEAVE_NOTICE_MILLISECONDS));
+    private CompletableFuture<Void> closePorts() {
+        return operators
+                .stop()
+                .thenCompose(closed -> control.stop())
+                .thenCompose(closed -> mesh.stop())
+                .thenCompose(closed -> gossip.close());
     }
 
     private void stopLoops() {
@@ -221,10 +223,6 @@
         logger.atInfo().log("event=node-stopped node=%s", self);
     }
 
-    private static java.util.concurrent.Executor later(long milliseconds) {
-        return CompletableFuture.delayedExecutor(milliseconds, TimeUnit.MILLISECONDS);
-    }
-
     private void startTicks() {
         accounting.start();
         controlLoop.execute(
@@ -245,13 +243,28 @@
         return membership;
     }
 
+    private OperatorServer operatorServer(ServiceTable table) {
+        OperatorParts parts =
+                new OperatorParts(
+                        self,
+                        controlLoop::execute,
+                        configuration,
+                        membership.protocol(),
+                        members,
+                        entry,
+                        target,
+                        table);
+        return new OperatorServer(
+                parameters.operatorAddress(), parameters.operatorSecurity(), parts.service());
+    }
+
     private FrameReceivers receivers() {
         return new FrameReceivers(
                 this::onEntryFrame,
                 this::onTargetFrame,
                 (link, frame) -> link.send(loadAnswer()),
                 (link, frame) -> controlLoop.execute(() -> configuration.onFrame(link, frame)),
-                (link, frame) -> accounting().onFrame(link, frame),
+                (link, frame) -> accounting.onFrame(link, frame),
                 this::onUnsent,
                 (peer, lastUsed) -> entry.onLinkLost(peer, lastUsed));
     }
@@ -309,19 +322,21 @@
                 platform.tableService(URI.create(settings.getTableServiceUrl())),
                 System::currentTimeMillis,
                 upstreamLoop::execute,
-                later(CLAIM_RELEASE_PAUSE_MILLISECONDS));
+                CompletableFuture.delayedExecutor(
+                        CLAIM_RELEASE_PAUSE_MILLISECONDS, TimeUnit.MILLISECONDS));
     }
 
     private EntryDuty entryDuty(Incarnation incarnation) {
-        SelfLink selfLink = new SelfLink(self, incarnation, frame -> entry().offer(frame));
+        SelfLink selfLink = new SelfLink(self, incarnation, frame -> entry.offer(frame));
         MeshCarrier carrier =
                 new MeshCarrier(
                         self,
                         members,
                         mesh,
                         frame -> target.offer(selfLink, frame),
-                        (frame, reason) -> entry().onUnsent(frame, reason));
-        ServiceRuntimes runtimes = serviceRuntimes(carrier);
+                        (frame, reason) -> entry.onUnsent(frame, reason));
+        ServiceRuntimes runtimes =
+                parameters.runtimes(members, loads.probes(callerLoop, carrier::send));
         EntryParts parts =
                 new EntryParts(
                         System::nanoTime,
@@ -336,25 +351,6 @@
         return new EntryDuty(callerLoop, self, incarnation, parameters.entry(), runtimes, parts);
     }
 
-    private EntryDuty entry() {
-        return entry;
-    }
-
-    private AccountingDuty accounting() {
-        return accounting;
-    }
-
-    private ServiceRuntimes serviceRuntimes(MeshCarrier carrier) {
-        return new ServiceRuntimes(
-                new RegionName(settings.getRegion()),
-                new DataCentreName(settings.getDataCentre()),
-                parameters.routing(loads.probes(callerLoop, carrier::send)),
-                members,
-                System::nanoTime,
-                new SplittableRandom(),
-                ServiceMatcher.of(java.util.List.of()));
-    }
-
     private void onConfiguration(ServiceMatcher services) {
         entry.onConfiguration(services);
         target.onConfiguration(services);
--- a/node/src/main/java/org/damaskmoor/node/internal/NodeParameters.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/NodeParameters.java
@@ -1,18 +1,27 @@
 package org.damaskmoor.node.internal;
 
+import io.netty.handler.ssl.SslContext;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import org.damaskmoor.core.configuration.ServiceMatcher;
+import org.damaskmoor.core.id.DataCentreName;
 import org.damaskmoor.core.id.Incarnation;
 import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.core.id.RegionName;
 import org.damaskmoor.core.routing.RoutingOptions;
 import org.damaskmoor.mesh.MeshSettings;
 import org.damaskmoor.node.NodeOptions;
 import org.damaskmoor.node.internal.entry.EntryDuty.EntrySettings;
 import org.damaskmoor.node.internal.entry.EntryLimits;
+import org.damaskmoor.node.internal.entry.ServiceRuntimes;
 import org.damaskmoor.node.internal.entry.ServiceRuntimes.RoutingDefaults;
 import org.damaskmoor.node.internal.load.LoadProbes;
+import org.damaskmoor.node.internal.members.MemberDirectory;
+import org.damaskmoor.node.internal.security.NodeSecurity;
 import org.damaskmoor.node.internal.target.TargetDuty.TargetLimits;
 import org.damaskmoor.schema.gossip.MemberRecord;
 import org.damaskmoor.schema.gossip.MemberState;
@@ -30,11 +39,24 @@
     private static final Duration SILENCE_TIMEOUT = Duration.ofSeconds(1);
 
     private final NodeSettings settings;
+    private final Optional<NodeSecurity> security;
     private final NodeOptions nodeOptions;
 
-    public NodeParameters(NodeSettings settings, NodeOptions nodeOptions) {
+    public NodeParameters(
+            NodeSettings settings, Optional<NodeSecurity> security, NodeOptions nodeOptions) {
         this.nodeOptions = nodeOptions;
         this.settings = settings;
+        this.security = security;
+    }
+
+    /** Where operators connect to. */
+    public InetSocketAddress operatorAddress() {
+        return new InetSocketAddress(settings.getOperatorAddress(), settings.getOperatorPort());
+    }
+
+    /** TLS towards operators. */
+    public Optional<SslContext> operatorSecurity() {
+        return security.map(NodeSecurity::operators);
     }
 
     /** The mesh's part. */
@@ -47,7 +69,7 @@
                 MESH_RING_FRAMES,
                 CONNECT_TIMEOUT,
                 SILENCE_TIMEOUT,
-                Optional.empty());
+                security.map(NodeSecurity::mesh));
     }
 
     /** The entry part. */
@@ -73,8 +95,19 @@
                 TimeUnit.SECONDS.toMillis(settings.getKeyRetentionSeconds()));
     }
 
-    /** Routing of services that set nothing. */
-    public RoutingDefaults routing(LoadProbes probes) {
+    /** The services that callers of this node use, none yet. */
+    public ServiceRuntimes runtimes(MemberDirectory members, LoadProbes probes) {
+        return new ServiceRuntimes(
+                new RegionName(settings.getRegion()),
+                new DataCentreName(settings.getDataCentre()),
+                routing(probes),
+                members,
+                System::nanoTime,
+                new SplittableRandom(),
+                ServiceMatcher.of(List.of()));
+    }
+
+    private RoutingDefaults routing(LoadProbes probes) {
         RoutingOptions options =
                 new RoutingOptions(
                         settings.getSampledCandidates(),
