--- a/node/src/main/java/org/damaskmoor/node/NodeProcess.java
+++ b/node/src/main/java/org/damaskmoor/node/NodeProcess.java
@@ -181,6 +181,11 @@
         return configuration.isReady() && !stopping;
     }
 
+    /** Requests of callers at this node that wait for their reply. */
+    public int openRequests() {
+        return entry.openRequests();
+    }
+
     /**
      * A planned stop: takes no new work, finishes what is in flight within the drain timeout, tells
      * the other nodes, and ends.
@@ -335,8 +340,7 @@
                         mesh,
                         frame -> target.offer(selfLink, frame),
                         (frame, reason) -> entry.onUnsent(frame, reason));
-        ServiceRuntimes runtimes =
-                parameters.runtimes(members, loads.probes(callerLoop, carrier::send));
+        ServiceRuntimes runtimes = parameters.runtimes(members, loads.probes(callerLoop, carrier));
         EntryParts parts =
                 new EntryParts(
                         System::nanoTime,
--- a/node/src/main/java/org/damaskmoor/node/internal/load/LoadMeasuring.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/load/LoadMeasuring.java
@@ -1,13 +1,12 @@
 package org.damaskmoor.node.internal.load;
 
 import com.codahale.metrics.MetricRegistry;
-import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.core.id.RegionName;
 import org.damaskmoor.node.internal.duty.DutyLoop;
+import org.damaskmoor.node.internal.entry.TargetCarrier;
 import org.damaskmoor.node.internal.members.MemberDirectory;
-import org.damaskmoor.schema.mesh.MeshFrame;
 import org.damaskmoor.schema.settings.NodeSettings;
 
 /**
@@ -51,14 +50,14 @@
     }
 
     /** The probes of the entry part, which are sent from now on. */
-    public LoadProbes probes(DutyLoop loop, BiConsumer<NodeId, MeshFrame> sender) {
+    public LoadProbes probes(DutyLoop loop, TargetCarrier carrier) {
         LoadProbes probes =
                 new LoadProbes(
                         new NodeId(settings.getNodeId()),
                         new RegionName(settings.getRegion()),
                         settings.getMeasuringBytesPerSecond(),
                         counters,
-                        sender,
+                        carrier::send,
                         clock);
         loop.every(LoadProbes.TICK_MILLISECONDS, probes::tick);
         return probes;
--- a/node/src/main/java/org/damaskmoor/node/internal/members/MembershipDuty.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/members/MembershipDuty.java
@@ -47,6 +47,7 @@
     private List<NodeId> nearestPeers = List.of();
     private boolean changed = true;
     private long nextPublishMilliseconds;
+    private MemberRecord publishedSelf = MemberRecord.getDefaultInstance();
     private long nextJoinMilliseconds;
     private long nextCheckMilliseconds;
 
@@ -200,8 +201,11 @@
 
     private void publishIfDue() {
         long now = milliseconds.getAsLong();
-        if (changed && now >= nextPublishMilliseconds) {
+        MemberRecord self = protocol.self();
+        boolean news = changed || !self.equals(publishedSelf);
+        if (news && now >= nextPublishMilliseconds) {
             changed = false;
+            publishedSelf = self;
             nextPublishMilliseconds = now + PUBLISH_MILLISECONDS;
             members = protocol.members();
             nearestPeers = sortByDistance(members);
