--- a/bench/src/main/java/org/damaskmoor/bench/experiment/ObservedRouter.java
+++ b/bench/src/main/java/org/damaskmoor/bench/experiment/ObservedRouter.java
@@ -13,6 +13,7 @@
 import org.damaskmoor.core.load.RegionSummary;
 import org.damaskmoor.core.routing.CandidateWeight;
 import org.damaskmoor.core.routing.Choice;
+import org.damaskmoor.core.routing.KeyScope;
 import org.damaskmoor.core.routing.RequestView;
 import org.damaskmoor.core.routing.Router;
 import org.damaskmoor.core.routing.Target;
@@ -90,8 +91,9 @@
     }
 
     @Override
-    public Optional<Choice> chooseForKey(String key, Set<NodeId> excluded, long now) {
-        return router.chooseForKey(key, excluded, now);
+    public Optional<Choice> chooseForKey(
+            String key, KeyScope scope, Set<NodeId> excluded, long now) {
+        return router.chooseForKey(key, scope, excluded, now);
     }
 
     @Override
--- a/bench/src/test/java/org/damaskmoor/bench/verification/InvariantCheckerTest.java
+++ b/bench/src/test/java/org/damaskmoor/bench/verification/InvariantCheckerTest.java
@@ -11,7 +11,7 @@
 class InvariantCheckerTest {
     private static CallRecord booking(int attempt, Outcome outcome, String reason) {
         return new CallRecord(
-                "staff", "key-1", attempt, true, false, outcome, reason, "", false, 1);
+                "staff", "key-1", attempt, true, false, outcome, reason, "", false, "entry", 1);
     }
 
     private static List<Kind> kinds(List<UpstreamRuns> runs, CallRecord... records) {
@@ -53,7 +53,17 @@
     void should_find_a_crossed_answer_when_a_body_was_not_its_own() {
         CallRecord crossed =
                 new CallRecord(
-                        "staff", "", 1, false, false, Outcome.ANSWERED, "status-200", "", true, 1);
+                        "staff",
+                        "",
+                        1,
+                        false,
+                        false,
+                        Outcome.ANSWERED,
+                        "status-200",
+                        "",
+                        true,
+                        "entry",
+                        1);
 
         assertThat(kinds(List.of(), crossed)).containsExactly(Kind.CROSSED_ANSWER);
     }
--- a/bench/src/test/java/org/damaskmoor/bench/verification/RefusalComparisonTest.java
+++ b/bench/src/test/java/org/damaskmoor/bench/verification/RefusalComparisonTest.java
@@ -12,7 +12,8 @@
 
 class RefusalComparisonTest {
     private static CallRecord refused(String caller, String reason) {
-        return new CallRecord(caller, "", 1, false, false, Outcome.REFUSED, reason, "r", false, 1);
+        return new CallRecord(
+                caller, "", 1, false, false, Outcome.REFUSED, reason, "r", false, "entry", 1);
     }
 
     private static Line line(String caller, RefusalReason reason, long count) {
--- a/bench/src/test/java/org/damaskmoor/bench/verification/TotalsTest.java
+++ b/bench/src/test/java/org/damaskmoor/bench/verification/TotalsTest.java
@@ -21,6 +21,7 @@
                             "queue-full",
                             "r",
                             false,
+                            "entry",
                             1));
 
     private static Totals totals(OptionalLong accounted) {
--- a/node/src/main/java/org/damaskmoor/node/NodeProcess.java
+++ b/node/src/main/java/org/damaskmoor/node/NodeProcess.java
@@ -37,6 +37,8 @@
 import org.damaskmoor.node.internal.mesh.FrameRouter;
 import org.damaskmoor.node.internal.mesh.SelfLink;
 import org.damaskmoor.node.internal.metrics.MetricsText;
+import org.damaskmoor.node.internal.metrics.NodeGauges;
+import org.damaskmoor.node.internal.metrics.NodeMetric;
 import org.damaskmoor.node.internal.metrics.NodeMetrics;
 import org.damaskmoor.node.internal.operator.OperatorParts;
 import org.damaskmoor.node.internal.operator.OperatorServer;
@@ -44,6 +46,7 @@
 import org.damaskmoor.node.internal.stop.PlannedStop;
 import org.damaskmoor.node.internal.stop.StopSteps;
 import org.damaskmoor.node.internal.target.ClaimService;
+import org.damaskmoor.node.internal.target.CrashWatch;
 import org.damaskmoor.node.internal.target.TargetDuty;
 import org.damaskmoor.node.internal.target.TargetDuty.UpstreamStatus;
 import org.damaskmoor.platform.PlatformClient;
@@ -51,6 +54,7 @@
 import org.damaskmoor.platform.PlatformServiceTable;
 import org.damaskmoor.platform.TableService;
 import org.damaskmoor.schema.gossip.MemberRecord;
+import org.damaskmoor.schema.gossip.QuarantineRecord;
 import org.damaskmoor.schema.mesh.LoadProbeAnswer;
 import org.damaskmoor.schema.mesh.MeshFrame;
 import org.damaskmoor.schema.mesh.RefusalReason;
@@ -87,6 +91,7 @@
     private final GossipTransport gossip;
     private final AccountingDuty accounting;
     private final EntryDuty entry;
+    private final CrashWatch crashes;
     private final TargetDuty target;
     private final ConfigurationDuty configuration;
     private final MembershipDuty membership;
@@ -131,6 +136,7 @@
         accounting =
                 AccountingFactory.create(
                         settings, incarnation, callerLoop, accountingLoop, members, mesh, platform);
+        crashes = new CrashWatch(self, incarnation, System::nanoTime, this::spread);
         target = targetDuty(incarnation);
         entry = entryDuty(incarnation);
         configuration =
@@ -147,7 +153,7 @@
                         gossip,
                         configuration.gossip(
                                 (peer, versions) -> membership().protocol().tell(peer, versions),
-                                record -> false),
+                                record -> crashes().merge(record)),
                         new JoinPoints(tables),
                         members,
                         new Listener(),
@@ -164,6 +170,7 @@
                         target::drain,
                         new MetricsText(metrics));
         operators = operatorServer(serviceTable);
+        registerGauges();
     }
 
     /** Opens all ports and joins the other nodes; completes when the ports are open. */
@@ -181,6 +188,16 @@
         return configuration.isReady() && !stopping;
     }
 
+    /** The members that this node knows of. */
+    public MemberDirectory members() {
+        return members;
+    }
+
+    /** Crashes of upstreams that this node knows of and that still count. */
+    public int crashRecords() {
+        return crashes.records();
+    }
+
     /** Requests of callers at this node that wait for their reply. */
     public int openRequests() {
         return entry.openRequests();
@@ -192,6 +209,7 @@
      */
     public CompletableFuture<Void> stop() {
         stopping = true;
+        entry.announceClose();
         logger.atInfo().log("event=node-stopping node=%s", self);
         StopSteps steps =
                 new StopSteps(
@@ -244,6 +262,23 @@
                 "event=node-started node=%s http_port=%d", self, settings.getHttpPort());
     }
 
+    private void registerGauges() {
+        new NodeGauges(metrics)
+                .add(NodeMetric.OPEN_REQUESTS, entry::openRequests)
+                .add(NodeMetric.CRASHES, crashes::records)
+                .addLoad(target::lastLoad)
+                .addMembers(members::count)
+                .addGossip(gossip.traffic());
+    }
+
+    private CrashWatch crashes() {
+        return crashes;
+    }
+
+    private void spread(QuarantineRecord record) {
+        controlLoop.execute(() -> membership.protocol().spread(record));
+    }
+
     private MembershipDuty membership() {
         return membership;
     }
@@ -271,7 +306,12 @@
                 (link, frame) -> controlLoop.execute(() -> configuration.onFrame(link, frame)),
                 (link, frame) -> accounting.onFrame(link, frame),
                 this::onUnsent,
-                (peer, lastUsed) -> entry.onLinkLost(peer, lastUsed));
+                this::onLinkLost);
+    }
+
+    private void onLinkLost(NodeId peer, long lastUsedNanoseconds) {
+        metrics.counter(NodeMetric.LOST_LINKS.metricName()).inc();
+        entry.onLinkLost(peer, lastUsedNanoseconds);
     }
 
     private void onEntryFrame(MeshLink link, MeshFrame frame) {
@@ -284,6 +324,7 @@
 
     private void onTargetFrame(MeshLink link, MeshFrame frame) {
         if (!target.offer(link, frame)) {
+            metrics.counter(NodeMetric.DROPPED_FRAMES.metricName()).inc();
             logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
                     "event=frame-dropped step=enqueue peer=%s reason=ring-full", link.peer());
         }
@@ -316,6 +357,7 @@
                 System::nanoTime,
                 System::currentTimeMillis,
                 claims(incarnation),
+                crashes,
                 loads.reports()::reportFor,
                 this::onUpstreamStatus);
     }
--- a/node/src/main/java/org/damaskmoor/node/internal/load/WatchedRouter.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/load/WatchedRouter.java
@@ -9,6 +9,7 @@
 import org.damaskmoor.core.load.RegionSummary;
 import org.damaskmoor.core.routing.CandidateWeight;
 import org.damaskmoor.core.routing.Choice;
+import org.damaskmoor.core.routing.KeyScope;
 import org.damaskmoor.core.routing.RequestView;
 import org.damaskmoor.core.routing.Router;
 import org.damaskmoor.core.routing.Target;
@@ -78,8 +79,9 @@
     }
 
     @Override
-    public Optional<Choice> chooseForKey(String key, Set<NodeId> excluded, long now) {
-        return router.chooseForKey(key, excluded, now);
+    public Optional<Choice> chooseForKey(
+            String key, KeyScope scope, Set<NodeId> excluded, long now) {
+        return router.chooseForKey(key, scope, excluded, now);
     }
 
     @Override
--- a/node/src/main/java/org/damaskmoor/node/internal/target/TargetDispatcher.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/target/TargetDispatcher.java
@@ -52,6 +52,7 @@
     private final UpstreamRegistration upstream;
     private final UpstreamClient client;
     private final HeldClaims claims;
+    private final CrashWatch crashes;
     private final TargetTiming timing;
     private final Map<RequestId, OpenCall> open = new HashMap<>();
     private final Waiters waiters;
@@ -62,6 +63,7 @@
             UpstreamRegistration upstream,
             UpstreamClient client,
             ClaimService claims,
+            CrashWatch crashes,
             TargetTiming timing,
             BiFunction<NodeId, LoadReport, LoadReport> reports) {
         this.ledger = ledger;
@@ -69,6 +71,7 @@
         this.upstream = upstream;
         this.client = client;
         this.claims = new HeldClaims(claims);
+        this.crashes = crashes;
         this.timing = timing;
         this.waiters = new Waiters(peer -> reports.apply(peer, admission.loadReport(timing.now())));
     }
@@ -144,8 +147,11 @@
         open.put(id, opened);
         waiters.add(waiter);
         waiter.link().send(TargetFrames.accepted(waiter));
+        Optional<CallRefusal> quarantined = crashes.refusal(call);
         if (!upstream.serves(call.getService())) {
-            refuse(id, CallRefusal.of(RefusalReason.NO_UPSTREAM));
+            refuse(id, CallRefusal.of(RefusalReason.UPSTREAM_UNREACHABLE));
+        } else if (quarantined.isPresent()) {
+            refuse(id, quarantined.get());
         } else if (HeldClaims.isNeeded(call)) {
             claims.claim(opened, claim -> onClaim(id, claim));
         } else {
@@ -210,6 +216,7 @@
             onOutcome(call, started, new UpstreamOutcome.NotRun(true, false));
             return;
         }
+        crashes.onHandOver(call.id(), call.call());
         client.send(
                 address.get(),
                 call.call(),
@@ -218,6 +225,7 @@
     }
 
     private void onOutcome(OpenCall call, long started, UpstreamOutcome outcome) {
+        crashes.onOutcome(call.id(), outcome);
         if (outcome instanceof UpstreamOutcome.Answered answered) {
             onAnswered(call, started, answered.answer());
         } else if (outcome instanceof UpstreamOutcome.NotRun notRun) {
