--- a/bench/src/main/java/org/damaskmoor/bench/BenchMain.java
+++ b/bench/src/main/java/org/damaskmoor/bench/BenchMain.java
@@ -8,6 +8,8 @@
 import org.damaskmoor.bench.capacity.CapacityCommand;
 import org.damaskmoor.bench.demo.DemoCommand;
 import org.damaskmoor.bench.demo.LoadCommand;
+import org.damaskmoor.bench.experiment.AddedLatencyCommand;
+import org.damaskmoor.bench.experiment.ExperimentCommand;
 import org.damaskmoor.bench.link.EmulatedNode;
 import org.damaskmoor.bench.platform.PlatformStandInCommand;
 import org.damaskmoor.bench.soak.SoakCommand;
@@ -59,6 +61,8 @@
                 .withCommand(LoadCommand.class)
                 .withCommand(SoakCommand.class)
                 .withCommand(SpreadCommand.class)
+                .withCommand(ExperimentCommand.class)
+                .withCommand(AddedLatencyCommand.class)
                 .withCommand(PlatformStandInCommand.class)
                 .withCommand(UpstreamStandInCommand.class)
                 .build();
--- a/core/src/main/java/org/damaskmoor/core/retry/RetryBudget.java
+++ b/core/src/main/java/org/damaskmoor/core/retry/RetryBudget.java
@@ -19,21 +19,34 @@
 public final class RetryBudget {
     private static final double FLOOR_TOKENS_PER_SECOND = 1;
     private static final double BURST_TOKENS = 20;
+    private static final double SHARE_KEPT_FROM_HEDGES = 0.5;
     private static final double NANOSECONDS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
     private static final double PERCENT = 100;
 
     /** Sums of small shares may fall a little short of a whole token. */
     private static final double ROUNDING = 1e-9;
 
+    private final double burstTokens;
     private double tokensPerRequest;
-    private double tokens = BURST_TOKENS;
+    private double tokens;
     private long filledAtNanoseconds;
 
     public RetryBudget(int percent, long nowNanoseconds) {
+        this(percent, BURST_TOKENS, nowNanoseconds);
+    }
+
+    private RetryBudget(int percent, double burstTokens, long nowNanoseconds) {
         configure(percent);
+        this.burstTokens = burstTokens;
+        this.tokens = burstTokens;
         this.filledAtNanoseconds = nowNanoseconds;
     }
 
+    /** A budget that never allows a further attempt, for baselines without retries. */
+    public static RetryBudget none() {
+        return new RetryBudget(0, 0, 0);
+    }
+
     /** The configuration has changed. */
     public void configure(int percent) {
         tokensPerRequest = percent / PERCENT;
@@ -55,6 +68,18 @@
         return true;
     }
 
+    /**
+     * Takes a hedge out of the budget. Hedges leave half of the burst to retries: a hedge only
+     * makes an answer faster, and a retry saves a request from being refused.
+     */
+    boolean tryTakeForHedge(long nowNanoseconds) {
+        fill(nowNanoseconds);
+        if (tokens - 1 < SHARE_KEPT_FROM_HEDGES * burstTokens - ROUNDING) {
+            return false;
+        }
+        return tryTake(nowNanoseconds);
+    }
+
     private void fill(long now) {
         double seconds = Math.max(0, now - filledAtNanoseconds) / NANOSECONDS_PER_SECOND;
         add(seconds * FLOOR_TOKENS_PER_SECOND);
@@ -62,6 +87,6 @@
     }
 
     private void add(double more) {
-        tokens = Math.min(BURST_TOKENS, tokens + more);
+        tokens = Math.min(burstTokens, tokens + more);
     }
 }
--- a/core/src/main/java/org/damaskmoor/core/routing/internal/ServiceRouter.java
+++ b/core/src/main/java/org/damaskmoor/core/routing/internal/ServiceRouter.java
@@ -38,6 +38,9 @@
 public final class ServiceRouter implements Router {
     private static final double FAILING_FROM_RATE = 0.5;
 
+    /** Time in which a node that has just started gets to know the other members. */
+    private static final long JOINING_NANOSECONDS = TimeUnit.SECONDS.toNanos(5);
+
     private final RegionName region;
     private final DataCentreName dataCentre;
     private final RoutingOptions options;
@@ -47,6 +50,7 @@
     private final Map<RegionName, RegionPrior> priors = new HashMap<>();
     private Map<TargetId, TargetState> states = new HashMap<>();
     private boolean targetsKnown;
+    private long firstKnownAtNanoseconds;
     private long choices;
 
     public ServiceRouter(
@@ -74,7 +78,10 @@
             }
         }
         states = updated;
-        targetsKnown = targetsKnown || !updated.isEmpty();
+        if (!targetsKnown && !updated.isEmpty()) {
+            targetsKnown = true;
+            firstKnownAtNanoseconds = now;
+        }
         sampler.replace(near.toArray(new TargetState[0]), far.toArray(new TargetState[0]));
         headroom.invalidate();
     }
@@ -212,7 +219,10 @@
         return new Choice(state.target(), state.distance(), expected);
     }
 
-    /** Targets of the first snapshot are not cold: it is this node that is new, not they. */
+    /**
+     * Targets that become known while this node itself joins are not cold: it is this node that is
+     * new, not they.
+     */
     private TargetState stateFor(Target target, long now) {
         TargetState known = states.get(target.id());
         if (known != null) {
@@ -225,12 +235,18 @@
                         distanceOf(target),
                         priorOf(target.region()),
                         options.slowStartNanoseconds());
-        if (targetsKnown) {
+        boolean joining = !targetsKnown || now - firstKnownAtNanoseconds < JOINING_NANOSECONDS;
+        if (!joining || hasRestarted(target)) {
             state.startCold(now);
         }
         return state;
     }
 
+    /** Whether another incarnation of the target's node was known until now. */
+    private boolean hasRestarted(Target target) {
+        return states.keySet().stream().anyMatch(id -> id.node().equals(target.id().node()));
+    }
+
     private Distance distanceOf(Target target) {
         if (!target.region().equals(region)) {
             return Distance.REMOTE;
--- a/node/src/main/java/org/damaskmoor/node/NodeProcess.java
+++ b/node/src/main/java/org/damaskmoor/node/NodeProcess.java
@@ -29,7 +29,7 @@
 import org.damaskmoor.node.internal.entry.EntryParts;
 import org.damaskmoor.node.internal.entry.MeshCarrier;
 import org.damaskmoor.node.internal.entry.ServiceRuntimes;
-import org.damaskmoor.node.internal.entry.ServiceRuntimes.ChoicePolicyFactory;
+import org.damaskmoor.node.internal.load.LoadMeasuring;
 import org.damaskmoor.node.internal.members.JoinPoints;
 import org.damaskmoor.node.internal.members.MemberDirectory;
 import org.damaskmoor.node.internal.members.MembershipDuty;
@@ -82,6 +82,7 @@
     private final DutyLoop accountingLoop = new DutyLoop("accounting");
     private final MetricRegistry metrics = new MetricRegistry();
     private final MemberDirectory members = new MemberDirectory();
+    private final LoadMeasuring loads;
     private final PlatformClient platform;
     private final NettyMeshTransport mesh;
     private final GossipTransport gossip;
@@ -104,8 +105,18 @@
      */
     public NodeProcess(
             NodeSettings settings, Optional<NodeSecurity> security, ChannelCustomizer customizer) {
+        this(settings, security, customizer, NodeOptions.PRODUCT);
+    }
+
+    /** Creates a node that a benchmark has changed. */
+    public NodeProcess(
+            NodeSettings settings,
+            Optional<NodeSecurity> security,
+            ChannelCustomizer customizer,
+            NodeOptions options) {
         this.settings = settings;
-        this.parameters = new NodeParameters(settings, security);
+        this.loads = new LoadMeasuring(settings, metrics, members, System::nanoTime);
+        this.parameters = new NodeParameters(settings, security, options);
         this.self = new NodeId(settings.getNodeId());
         Incarnation incarnation = new Incarnation(System.currentTimeMillis());
         platform = new PlatformClient(PlatformClientLimits.defaults(), new SplittableRandom());
@@ -280,7 +291,7 @@
                 this::onTargetFrame,
                 (link, frame) -> link.send(loadAnswer()),
                 (link, frame) -> controlLoop.execute(() -> configuration.onFrame(link, frame)),
-                (link, frame) -> accounting().onFrame(link, frame),
+                (link, frame) -> accounting.onFrame(link, frame),
                 this::onUnsent,
                 this::onLinkLost);
     }
@@ -338,19 +349,20 @@
                         platform.tableService(URI.create(settings.getTableServiceUrl())),
                         upstreamLoop::execute),
                 crashes,
+                loads.reports()::reportFor,
                 this::onUpstreamStatus);
     }
 
     private EntryDuty entryDuty(Incarnation incarnation) {
-        SelfLink selfLink = new SelfLink(self, incarnation, frame -> entry().offer(frame));
+        SelfLink selfLink = new SelfLink(self, incarnation, frame -> entry.offer(frame));
         MeshCarrier carrier =
                 new MeshCarrier(
                         self,
                         members,
                         mesh,
                         frame -> target.offer(selfLink, frame),
-                        (frame, reason) -> entry().onUnsent(frame, reason));
-        ServiceRuntimes runtimes = parameters.runtimes(members, ChoicePolicyFactory.PRODUCT);
+                        (frame, reason) -> entry.onUnsent(frame, reason));
+        ServiceRuntimes runtimes = parameters.runtimes(members, loads.probes(callerLoop, carrier));
         EntryParts parts =
                 new EntryParts(
                         System::nanoTime,
@@ -365,14 +377,6 @@
         return new EntryDuty(callerLoop, self, incarnation, parameters.entry(), runtimes, parts);
     }
 
-    private EntryDuty entry() {
-        return entry;
-    }
-
-    private AccountingDuty accounting() {
-        return accounting;
-    }
-
     private void onConfiguration(ServiceMatcher services) {
         entry.onConfiguration(services);
         target.onConfiguration(services);
--- a/node/src/main/java/org/damaskmoor/node/internal/NodeParameters.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/NodeParameters.java
@@ -14,12 +14,13 @@
 import org.damaskmoor.core.id.RegionName;
 import org.damaskmoor.core.routing.RoutingOptions;
 import org.damaskmoor.mesh.MeshSettings;
+import org.damaskmoor.node.NodeOptions;
 import org.damaskmoor.node.internal.entry.EntryDuty.EntrySettings;
 import org.damaskmoor.node.internal.entry.EntryLimits;
 import org.damaskmoor.node.internal.entry.ServiceRuntimes;
-import org.damaskmoor.node.internal.entry.ServiceRuntimes.ChoicePolicyFactory;
 import org.damaskmoor.node.internal.entry.ServiceRuntimes.RoutingDefaults;
 import org.damaskmoor.node.internal.http.CallerLimits;
+import org.damaskmoor.node.internal.load.LoadProbes;
 import org.damaskmoor.node.internal.members.MemberDirectory;
 import org.damaskmoor.node.internal.security.NodeSecurity;
 import org.damaskmoor.node.internal.target.TargetDuty.TargetLimits;
@@ -40,8 +41,11 @@
 
     private final NodeSettings settings;
     private final Optional<NodeSecurity> security;
+    private final NodeOptions nodeOptions;
 
-    public NodeParameters(NodeSettings settings, Optional<NodeSecurity> security) {
+    public NodeParameters(
+            NodeSettings settings, Optional<NodeSecurity> security, NodeOptions nodeOptions) {
+        this.nodeOptions = nodeOptions;
         this.settings = settings;
         this.security = security;
     }
@@ -96,24 +100,29 @@
     }
 
     /** The services that callers of this node use, none yet. */
-    public ServiceRuntimes runtimes(MemberDirectory members, ChoicePolicyFactory policy) {
+    public ServiceRuntimes runtimes(MemberDirectory members, LoadProbes probes) {
         return new ServiceRuntimes(
                 new RegionName(settings.getRegion()),
                 new DataCentreName(settings.getDataCentre()),
-                routing(policy),
+                routing(probes),
                 members,
                 System::nanoTime,
                 new SplittableRandom(),
                 ServiceMatcher.of(List.of()));
     }
 
-    private RoutingDefaults routing(ChoicePolicyFactory policy) {
+    private RoutingDefaults routing(LoadProbes probes) {
         RoutingOptions options =
                 new RoutingOptions(
                         settings.getSampledCandidates(),
                         RoutingOptions.DEFAULT.slowStartNanoseconds(),
-                        RoutingOptions.DEFAULT.ejectedPercent());
-        return new RoutingDefaults(options, settings.getRetryBudgetPercent(), policy);
+                        nodeOptions.ejection() ? RoutingOptions.DEFAULT.ejectedPercent() : 0);
+        return new RoutingDefaults(
+                options,
+                settings.getRetryBudgetPercent(),
+                nodeOptions.policy(),
+                nodeOptions.furtherAttempts(),
+                (service, router) -> probes.around(service, nodeOptions.observer().apply(router)));
     }
 
     /** What other nodes are told of this one at its start. */
--- a/node/src/main/java/org/damaskmoor/node/internal/target/TargetDispatcher.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/target/TargetDispatcher.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
 import org.damaskmoor.core.admission.AdmissionController;
 import org.damaskmoor.core.admission.AdmissionOutcome;
 import org.damaskmoor.core.admission.NextAdmissions;
@@ -13,6 +14,7 @@
 import org.damaskmoor.core.admission.Refusal;
 import org.damaskmoor.core.id.CallerName;
 import org.damaskmoor.core.id.Incarnation;
+import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.core.id.RequestId;
 import org.damaskmoor.core.id.ServiceName;
 import org.damaskmoor.core.once.Acceptance;
@@ -26,6 +28,7 @@
 import org.damaskmoor.schema.mesh.Call;
 import org.damaskmoor.schema.mesh.CallAnswer;
 import org.damaskmoor.schema.mesh.CancelCall;
+import org.damaskmoor.schema.mesh.LoadReport;
 import org.damaskmoor.schema.mesh.MeshFrame;
 import org.damaskmoor.schema.mesh.RefusalReason;
 import org.damaskmoor.schema.mesh.SealRequest;
@@ -61,7 +64,8 @@
             UpstreamClient client,
             ClaimService claims,
             CrashWatch crashes,
-            TargetTiming timing) {
+            TargetTiming timing,
+            BiFunction<NodeId, LoadReport, LoadReport> reports) {
         this.ledger = ledger;
         this.admission = admission;
         this.upstream = upstream;
@@ -69,7 +73,7 @@
         this.claims = new HeldClaims(claims);
         this.crashes = crashes;
         this.timing = timing;
-        this.waiters = new Waiters(() -> admission.loadReport(timing.now()));
+        this.waiters = new Waiters(peer -> reports.apply(peer, admission.loadReport(timing.now())));
     }
 
     /** Takes a frame from an entry node. */
--- a/node/src/test/java/org/damaskmoor/node/internal/target/TargetDispatcherClaimTest.java
+++ b/node/src/test/java/org/damaskmoor/node/internal/target/TargetDispatcherClaimTest.java
@@ -60,7 +60,8 @@
                 (address, call, remaining, whenDone) -> runs.add(whenDone),
                 new RecordingClaims(),
                 new CrashWatch(new NodeId("b"), new Incarnation(1), () -> 0, record -> {}),
-                new TargetTiming(() -> 0, () -> NOW_MILLISECONDS, 0));
+                new TargetTiming(() -> 0, () -> NOW_MILLISECONDS, 0),
+                (peer, report) -> report);
     }
 
     private final class RecordingClaims implements ClaimService {
