--- a/bench/src/main/java/org/damaskmoor/bench/soak/BookingLoad.java
+++ b/bench/src/main/java/org/damaskmoor/bench/soak/BookingLoad.java
@@ -30,7 +30,8 @@
     List<PlannedCall> plan(int bookings, double seconds) {
         double rate = bookings / BOOKING_SHARE / seconds;
         List<PlannedCall> calls =
-                new Schedule(weighted(), random, run).plan(rate, seconds * SPARE + 1);
+                new Schedule(weighted(), random, run, Schedule.Shares.DEMO)
+                        .plan(rate, seconds * SPARE + 1);
         List<PlannedCall> planned = new ArrayList<>();
         int booked = 0;
         for (PlannedCall call : calls) {
--- a/bench/src/main/java/org/damaskmoor/bench/soak/Spread.java
+++ b/bench/src/main/java/org/damaskmoor/bench/soak/Spread.java
@@ -117,7 +117,11 @@
 
     private void load(long seed) {
         List<PlannedCall> calls =
-                new Schedule(deployment.requests(), new Random(seed), "spread-" + seed)
+                new Schedule(
+                                deployment.requests(),
+                                new Random(seed),
+                                "spread-" + seed,
+                                Schedule.Shares.DEMO)
                         .plan(LOAD_PER_SECOND, LOAD_SECONDS).stream()
                                 .filter(call -> !call.direct())
                                 .toList();
