--- a/bench/src/main/java/org/damaskmoor/bench/experiment/ExperimentUpstream.java
+++ b/bench/src/main/java/org/damaskmoor/bench/experiment/ExperimentUpstream.java
@@ -9,6 +9,7 @@
 import org.damaskmoor.bench.http.JsonObject;
 import org.damaskmoor.bench.http.LoopbackClient;
 import org.damaskmoor.bench.upstream.Announcer;
+import org.damaskmoor.bench.upstream.RunLedger;
 import org.damaskmoor.bench.upstream.ServiceTimes;
 import org.damaskmoor.bench.upstream.ServiceTimes.ColdStart;
 import org.damaskmoor.bench.upstream.Slots;
@@ -49,7 +50,13 @@
                         start.coldStart(),
                         System.currentTimeMillis());
         UpstreamServlet servlet =
-                new UpstreamServlet(eventLoop, new Slots(start.slots()), times, faults, () -> {});
+                new UpstreamServlet(
+                        eventLoop,
+                        new Slots(start.slots()),
+                        times,
+                        faults,
+                        new RunLedger(),
+                        () -> {});
         eventLoop.execute(() -> announcer(eventLoop, start, servlet).start());
         return servlet;
     }
--- a/bench/src/main/java/org/damaskmoor/bench/experiment/FaultInjector.java
+++ b/bench/src/main/java/org/damaskmoor/bench/experiment/FaultInjector.java
@@ -39,11 +39,13 @@
     /** Starts the clock of the faults. */
     void start() {
         switch (fault.kind()) {
-            case NONE -> {}
             case SLOW_SPELLS, NOISY_NEIGHBOURS -> after(FIRST_MILLISECONDS, this::spell);
             case COLD_START -> after(FIRST_MILLISECONDS, this::coldStart);
             case FAIL_FAST ->
                     after(FIRST_MILLISECONDS, () -> last().forEach(ExperimentUpstream::failFast));
+            default -> {
+                // no fault
+            }
         }
     }
 
--- a/bench/src/main/java/org/damaskmoor/bench/experiment/ResultTable.java
+++ b/bench/src/main/java/org/damaskmoor/bench/experiment/ResultTable.java
@@ -43,7 +43,8 @@
     private static String row(PolicyResult result) {
         return String.format(
                 Locale.ROOT,
-                "%-18s %-18s %8.2f %8.2f %8.2f %9.2f %9.2f %8d %7d %7d %7d %8.3f %7d %8.0f %7.1f%n",
+                "%-18s %-18s %8.2f %8.2f %8.2f %9.2f %9.2f"
+                        + " %8d %7d %7d %7d %8.3f %7d %8.0f %7.1f%n",
                 result.scenario(),
                 result.policy().label(),
                 result.milliseconds(50),
@@ -78,7 +79,8 @@
             text.append(
                     String.format(
                             Locale.ROOT,
-                            "view=cotizar-granito policy=%s measuring_bytes_per_weighted_answer=%.2f"
+                            "view=cotizar-granito policy=%s"
+                                    + " measuring_bytes_per_weighted_answer=%.2f"
                                     + " paid_link_bytes_per_second=%.0f"
                                     + " weighted_answers_per_second=%.0f p99_ms=%.2f%n",
                             result.policy().label(),
--- a/bench/src/main/java/org/damaskmoor/bench/experiment/Tally.java
+++ b/bench/src/main/java/org/damaskmoor/bench/experiment/Tally.java
@@ -66,7 +66,7 @@
         switch (outcome) {
             case ANSWERED -> failed++;
             case REFUSED -> refused++;
-            case UNKNOWN, TRANSPORT_ERROR -> unknown++;
+            default -> unknown++;
         }
     }
 
--- a/bench/src/main/java/org/damaskmoor/bench/load/Schedule.java
+++ b/bench/src/main/java/org/damaskmoor/bench/load/Schedule.java
@@ -32,6 +32,11 @@
         public static final Shares ROUTED_ONCE = new Shares(0, 0);
     }
 
+    /** A schedule of callers that behave as those of the demo. */
+    public Schedule(List<RequestKind> kinds, RandomGenerator random, String run) {
+        this(kinds, random, run, Shares.DEMO);
+    }
+
     /**
      * @param run sets this schedule's nonces apart from those of others
      */
--- a/bench/src/test/java/org/damaskmoor/bench/experiment/VerdictTest.java
+++ b/bench/src/test/java/org/damaskmoor/bench/experiment/VerdictTest.java
@@ -128,6 +128,7 @@
                 reason,
                 "",
                 false,
+                "",
                 TimeUnit.MILLISECONDS.toNanos(milliseconds));
     }
 }
