Let importance go before shares; show measuring bytes in the demo

The share was looked at before importance. Change: a caller over its share is refused only when nothing less important waits. Test: AdmissionControllerTest.should_queue_an_important_request... fails before, passes after. Also: the measuring metrics stand in the one table of metrics and so in the Prometheus text; the demo reads them.

--- a/bench/src/main/java/org/damaskmoor/bench/demo/DemoCommand.java
+++ b/bench/src/main/java/org/damaskmoor/bench/demo/DemoCommand.java
@@ -55,7 +55,7 @@
                         site.places().stream().map(Place::operatorPort).toList()),
                 new StoredRefusals(client),
                 new ReportedRefusals(site.platformUrl()),
-                MeasuringBytes.NOT_MEASURED,
+                new MetricMeasuringBytes(client),
                 progress);
     }
 
--- a/bench/src/main/java/org/damaskmoor/bench/demo/MeasuringBytes.java
+++ b/bench/src/main/java/org/damaskmoor/bench/demo/MeasuringBytes.java
@@ -7,9 +7,6 @@
 /** Sums the bytes that nodes spent on measuring load. */
 @FunctionalInterface
 interface MeasuringBytes {
-    /** A sum that says that it was not taken. */
-    MeasuringBytes NOT_MEASURED = controlUrls -> OptionalLong.empty();
-
     /** Returns the sum over the nodes with these control addresses; empty when not measured. */
     OptionalLong sum(List<String> controlUrls) throws IOException;
 }
--- a/core/src/main/java/org/damaskmoor/core/admission/internal/UpstreamAdmission.java
+++ b/core/src/main/java/org/damaskmoor/core/admission/internal/UpstreamAdmission.java
@@ -179,7 +179,8 @@
         if (wait > LONGEST_WAIT_NANOSECONDS) {
             return RefusalReason.OVERLOADED;
         }
-        if (capacityShort() && shares.over(request, options)) {
+        boolean overShare = capacityShort() && shares.over(request, options);
+        if (overShare && !lessImportantWaits(request)) {
             return RefusalReason.CALLER_OVER_SHARE;
         }
         return null;
@@ -246,6 +247,11 @@
                                 && other.request().importance() <= request.importance());
     }
 
+    private boolean lessImportantWaits(Admission request) {
+        int importance = request.importance();
+        return queue.last(other -> other.request().importance() < importance) != null;
+    }
+
     private boolean capacityShort() {
         return queue.size() > 0 && 2 * queue.size() >= options.queueLimit();
     }
--- a/core/src/test/java/org/damaskmoor/core/admission/AdmissionControllerTest.java
+++ b/core/src/test/java/org/damaskmoor/core/admission/AdmissionControllerTest.java
@@ -107,6 +107,25 @@
         assertThat(residents).isAtMost(18);
     }
 
+    @Test
+    void should_queue_an_important_request_of_a_caller_over_its_share_when_less_important_wait() {
+        // given
+        AdmissionFixture fixture =
+                new AdmissionFixture(1, new AdmissionOptions(0, 20, Map.of(RESIDENTS, 3)));
+        fixture.offer(fixture.request(RESIDENTS, 1, 5000));
+        for (int i = 0; i < 20; i++) {
+            fixture.offer(fixture.request(CREWS, 1, 5000));
+        }
+
+        // when
+        Offer lookup = fixture.offer(fixture.request(CREWS, 1, 5000));
+        Offer booking = fixture.offer(fixture.request(CREWS, 3, 5000));
+
+        // then
+        assertThat(reason(lookup)).isEqualTo(RefusalReason.CALLER_OVER_SHARE);
+        assertInstanceOf(Offer.Queued.class, booking);
+    }
+
     @Test
     void should_run_what_waits_and_refuse_what_is_new_when_draining() {
         // given
--- a/node/src/main/java/org/damaskmoor/node/internal/metrics/NodeMetric.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/metrics/NodeMetric.java
@@ -29,6 +29,16 @@
     CRASHES("damaskmoor_crash_records", Kind.GAUGE, "crashes of upstreams that still count"),
     /** Membership traffic. */
     GOSSIP_SENT("damaskmoor_gossip_sent_bytes_total", Kind.COUNTER, "bytes of gossip, by kind"),
+    /** Cost of measuring load. */
+    MEASURING_BYTES(
+            "damaskmoor_measuring_bytes_total",
+            Kind.COUNTER,
+            "bytes spent on measuring load, by kind"),
+    /** Cost of measuring load over the link between regions. */
+    PAID_LINK_MEASURING_BYTES(
+            "damaskmoor_paid_link_measuring_bytes_total",
+            Kind.COUNTER,
+            "bytes of these that went to another region, by kind"),
     /** Connections lost. */
     LOST_LINKS("damaskmoor_links_lost_total", Kind.COUNTER, "connections to nodes that were lost"),
     /** Frames dropped. */
