Name a target's incarnation by one type: TargetId in core.id

Cause: core.once and core.routing had a record each of node and incarnation, and the entry part turned one into the other. Behaviour is as before; all modules compile clean.

--- a/bench/src/main/java/org/damaskmoor/bench/experiment/ObservedRouter.java
+++ b/bench/src/main/java/org/damaskmoor/bench/experiment/ObservedRouter.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.atomic.LongAdder;
 import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.core.id.TargetId;
 import org.damaskmoor.core.load.RegionSummary;
 import org.damaskmoor.core.routing.CandidateWeight;
 import org.damaskmoor.core.routing.Choice;
@@ -17,7 +18,6 @@
 import org.damaskmoor.core.routing.RequestView;
 import org.damaskmoor.core.routing.Router;
 import org.damaskmoor.core.routing.Target;
-import org.damaskmoor.core.routing.TargetId;
 import org.damaskmoor.schema.mesh.LoadReport;
 import org.damaskmoor.schema.mesh.RefusalReason;
 
--- a/core/src/main/java/org/damaskmoor/core/routing/TargetId.java
+++ b/core/src/main/java/org/damaskmoor/core/id/TargetId.java
@@ -1,8 +1,6 @@
-package org.damaskmoor.core.routing;
+package org.damaskmoor.core.id;
 
 import java.util.Objects;
-import org.damaskmoor.core.id.Incarnation;
-import org.damaskmoor.core.id.NodeId;
 
 /**
  * Names one incarnation of a target node, so that news of a former one never counts for the next.
--- a/core/src/main/java/org/damaskmoor/core/load/ProbePlanner.java
+++ b/core/src/main/java/org/damaskmoor/core/load/ProbePlanner.java
@@ -8,8 +8,8 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.damaskmoor.core.id.RegionName;
+import org.damaskmoor.core.id.TargetId;
 import org.damaskmoor.core.routing.Target;
-import org.damaskmoor.core.routing.TargetId;
 
 /**
  * Decides which targets of one service to probe: those that a next request might go to and of which
--- a/core/src/main/java/org/damaskmoor/core/load/RegionSummaries.java
+++ b/core/src/main/java/org/damaskmoor/core/load/RegionSummaries.java
@@ -9,7 +9,7 @@
 import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.core.id.RegionName;
 import org.damaskmoor.core.id.ServiceName;
-import org.damaskmoor.core.routing.TargetId;
+import org.damaskmoor.core.id.TargetId;
 import org.damaskmoor.schema.mesh.LoadReport;
 
 /**
--- a/core/src/main/java/org/damaskmoor/core/once/EntryAction.java
+++ b/core/src/main/java/org/damaskmoor/core/once/EntryAction.java
@@ -1,6 +1,7 @@
 package org.damaskmoor.core.once;
 
 import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.core.id.TargetId;
 import org.damaskmoor.schema.mesh.RefusalReason;
 
 /**
@@ -24,7 +25,7 @@
      * @param attempt the attempt that got no word
      * @param target the incarnation it was sent to
      */
-    record Seal(AttemptId attempt, CallTarget target) implements EntryAction {}
+    record Seal(AttemptId attempt, TargetId target) implements EntryAction {}
 
     /** Nothing to do but to wait for the next message, timeout or the deadline. */
     record Wait() implements EntryAction {}
@@ -35,7 +36,7 @@
      * @param attempt the attempt
      * @param target the incarnation it was sent to
      */
-    record Cancel(AttemptId attempt, CallTarget target) implements EntryAction {}
+    record Cancel(AttemptId attempt, TargetId target) implements EntryAction {}
 
     /**
      * Give the caller the answer of this attempt, whole.
--- a/core/src/main/java/org/damaskmoor/core/once/EntryCall.java
+++ b/core/src/main/java/org/damaskmoor/core/once/EntryCall.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.damaskmoor.core.id.RequestId;
+import org.damaskmoor.core.id.TargetId;
 import org.damaskmoor.core.once.internal.AttemptTrackingEntryCall;
 import org.damaskmoor.schema.mesh.RefusalReason;
 import org.damaskmoor.schema.mesh.SealState;
@@ -44,7 +45,7 @@
      *
      * @return whether the frame may be written; false when the request ended meanwhile
      */
-    boolean sent(AttemptId attempt, CallTarget target);
+    boolean sent(AttemptId attempt, TargetId target);
 
     /** Tells that not one byte of the attempt's frame was written, so that it can't have run. */
     List<EntryAction> notSent(AttemptId attempt, RefusalReason reason);
--- a/core/src/main/java/org/damaskmoor/core/once/internal/Attempt.java
+++ b/core/src/main/java/org/damaskmoor/core/once/internal/Attempt.java
@@ -1,8 +1,8 @@
 package org.damaskmoor.core.once.internal;
 
+import org.damaskmoor.core.id.TargetId;
 import org.damaskmoor.core.once.AttemptId;
 import org.damaskmoor.core.once.CallStep;
-import org.damaskmoor.core.once.CallTarget;
 
 /**
  * One attempt at a request, as its entry node knows it.
@@ -30,11 +30,11 @@
     }
 
     final AttemptId id;
-    final CallTarget target;
+    final TargetId target;
     Knowledge knowledge = Knowledge.SENT;
     CallStep unknownStep = CallStep.DEADLINE;
 
-    Attempt(AttemptId id, CallTarget target) {
+    Attempt(AttemptId id, TargetId target) {
         this.id = id;
         this.target = target;
     }
--- a/core/src/main/java/org/damaskmoor/core/once/internal/AttemptTrackingEntryCall.java
+++ b/core/src/main/java/org/damaskmoor/core/once/internal/AttemptTrackingEntryCall.java
@@ -5,9 +5,9 @@
 import java.util.Objects;
 import java.util.Optional;
 import org.damaskmoor.core.id.RequestId;
+import org.damaskmoor.core.id.TargetId;
 import org.damaskmoor.core.once.AttemptId;
 import org.damaskmoor.core.once.CallStep;
-import org.damaskmoor.core.once.CallTarget;
 import org.damaskmoor.core.once.EntryAction;
 import org.damaskmoor.core.once.EntryCall;
 import org.damaskmoor.core.once.internal.Attempt.Knowledge;
@@ -54,7 +54,7 @@
     }
 
     @Override
-    public boolean sent(AttemptId attempt, CallTarget target) {
+    public boolean sent(AttemptId attempt, TargetId target) {
         if (!isPending(attempt)) {
             return false;
         }
--- a/core/src/main/java/org/damaskmoor/core/routing/Router.java
+++ b/core/src/main/java/org/damaskmoor/core/routing/Router.java
@@ -8,6 +8,7 @@
 import org.damaskmoor.core.id.DataCentreName;
 import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.core.id.RegionName;
+import org.damaskmoor.core.id.TargetId;
 import org.damaskmoor.core.load.RegionSummary;
 import org.damaskmoor.core.routing.internal.ServiceRouter;
 import org.damaskmoor.schema.mesh.LoadReport;
--- a/core/src/main/java/org/damaskmoor/core/routing/Target.java
+++ b/core/src/main/java/org/damaskmoor/core/routing/Target.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 import org.damaskmoor.core.id.DataCentreName;
 import org.damaskmoor.core.id.RegionName;
+import org.damaskmoor.core.id.TargetId;
 import org.damaskmoor.schema.mesh.UpstreamState;
 
 /**
--- a/core/src/main/java/org/damaskmoor/core/routing/internal/ServiceRouter.java
+++ b/core/src/main/java/org/damaskmoor/core/routing/internal/ServiceRouter.java
@@ -13,6 +13,7 @@
 import org.damaskmoor.core.id.DataCentreName;
 import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.core.id.RegionName;
+import org.damaskmoor.core.id.TargetId;
 import org.damaskmoor.core.load.RegionSummary;
 import org.damaskmoor.core.routing.Candidate;
 import org.damaskmoor.core.routing.CandidateWeight;
@@ -24,7 +25,6 @@
 import org.damaskmoor.core.routing.Router;
 import org.damaskmoor.core.routing.RoutingOptions;
 import org.damaskmoor.core.routing.Target;
-import org.damaskmoor.core.routing.TargetId;
 import org.damaskmoor.schema.mesh.LoadReport;
 import org.damaskmoor.schema.mesh.RefusalReason;
 
--- a/core/src/test/java/org/damaskmoor/core/once/FakeEntry.java
+++ b/core/src/test/java/org/damaskmoor/core/once/FakeEntry.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import org.damaskmoor.core.id.Incarnation;
 import org.damaskmoor.core.id.RequestId;
+import org.damaskmoor.core.id.TargetId;
 import org.damaskmoor.schema.mesh.RefusalReason;
 
 /** An entry node with one request, as a real node would drive it. Not thread-safe. */
@@ -49,7 +50,7 @@
         FakeTarget target = world.targets.get(world.random.nextInt(world.targets.size()));
         Incarnation incarnation = target.knownIncarnation();
         lastAttempt = attempt;
-        if (!call.sent(attempt, new CallTarget(target.node, incarnation))) {
+        if (!call.sent(attempt, new TargetId(target.node, incarnation))) {
             return;
         }
         if (world.random.nextInt(10) == 0) {
@@ -112,7 +113,7 @@
         }
     }
 
-    private FakeTarget target(CallTarget target) {
+    private FakeTarget target(TargetId target) {
         return world.targets.stream()
                 .filter(known -> known.node.equals(target.node()))
                 .findFirst()
--- a/core/src/test/java/org/damaskmoor/core/once/FakeTarget.java
+++ b/core/src/test/java/org/damaskmoor/core/once/FakeTarget.java
@@ -9,6 +9,7 @@
 import org.damaskmoor.core.id.Incarnation;
 import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.core.id.RequestId;
+import org.damaskmoor.core.id.TargetId;
 import org.damaskmoor.schema.mesh.RefusalReason;
 import org.damaskmoor.schema.mesh.SealState;
 
@@ -95,7 +96,7 @@
         }
     }
 
-    void onSeal(AttemptId attempt, CallTarget target) {
+    void onSeal(AttemptId attempt, TargetId target) {
         SealState state =
                 ledger.seal(
                         attempt.request(),
--- a/core/src/test/java/org/damaskmoor/core/once/internal/AttemptTrackingEntryCallTest.java
+++ b/core/src/test/java/org/damaskmoor/core/once/internal/AttemptTrackingEntryCallTest.java
@@ -6,9 +6,9 @@
 import org.damaskmoor.core.id.Incarnation;
 import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.core.id.RequestId;
+import org.damaskmoor.core.id.TargetId;
 import org.damaskmoor.core.once.AttemptId;
 import org.damaskmoor.core.once.CallStep;
-import org.damaskmoor.core.once.CallTarget;
 import org.damaskmoor.core.once.EntryAction;
 import org.damaskmoor.core.once.EntryCall;
 import org.damaskmoor.schema.mesh.RefusalReason;
@@ -19,8 +19,8 @@
     private static final RequestId ID = new RequestId(new NodeId("entry"), new Incarnation(1), 1);
     private static final AttemptId FIRST = new AttemptId(ID, 1);
     private static final AttemptId SECOND = new AttemptId(ID, 2);
-    private static final CallTarget A = new CallTarget(new NodeId("a"), new Incarnation(1));
-    private static final CallTarget B = new CallTarget(new NodeId("b"), new Incarnation(1));
+    private static final TargetId A = new TargetId(new NodeId("a"), new Incarnation(1));
+    private static final TargetId B = new TargetId(new NodeId("b"), new Incarnation(1));
 
     @Test
     void should_try_elsewhere_when_the_target_sealed() {
--- a/core/src/test/java/org/damaskmoor/core/routing/FakeUpstreams.java
+++ b/core/src/test/java/org/damaskmoor/core/routing/FakeUpstreams.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.core.id.TargetId;
 import org.damaskmoor.core.retry.HedgePolicy;
 import org.damaskmoor.core.retry.RetryBudget;
 import org.damaskmoor.schema.mesh.LoadReport;
--- a/core/src/test/java/org/damaskmoor/core/routing/RouterFixture.java
+++ b/core/src/test/java/org/damaskmoor/core/routing/RouterFixture.java
@@ -12,6 +12,7 @@
 import org.damaskmoor.core.id.Incarnation;
 import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.core.id.RegionName;
+import org.damaskmoor.core.id.TargetId;
 import org.damaskmoor.schema.mesh.LoadReport;
 import org.damaskmoor.schema.mesh.UpstreamState;
 
--- a/core/src/test/java/org/damaskmoor/core/routing/RouterTest.java
+++ b/core/src/test/java/org/damaskmoor/core/routing/RouterTest.java
@@ -21,6 +21,7 @@
 import org.damaskmoor.core.id.Incarnation;
 import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.core.id.ServiceName;
+import org.damaskmoor.core.id.TargetId;
 import org.damaskmoor.core.load.RegionSummary;
 import org.damaskmoor.schema.mesh.LoadReport;
 import org.damaskmoor.schema.mesh.RefusalReason;
--- a/node/src/main/java/org/damaskmoor/node/internal/entry/EntryDuty.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/EntryDuty.java
@@ -9,7 +9,7 @@
 import org.damaskmoor.core.configuration.ServiceMatcher;
 import org.damaskmoor.core.id.Incarnation;
 import org.damaskmoor.core.id.NodeId;
-import org.damaskmoor.core.routing.TargetId;
+import org.damaskmoor.core.id.TargetId;
 import org.damaskmoor.mesh.MeshLink;
 import org.damaskmoor.mesh.ring.BoundedMailbox;
 import org.damaskmoor.node.internal.duty.DutyLoop;
--- a/node/src/main/java/org/damaskmoor/node/internal/entry/EntryExchange.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/EntryExchange.java
@@ -11,15 +11,14 @@
 import java.util.function.Consumer;
 import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.core.id.RequestId;
+import org.damaskmoor.core.id.TargetId;
 import org.damaskmoor.core.once.AttemptId;
-import org.damaskmoor.core.once.CallTarget;
 import org.damaskmoor.core.once.EntryAction;
 import org.damaskmoor.core.once.EntryCall;
 import org.damaskmoor.core.retry.DeadlineBudget;
 import org.damaskmoor.core.routing.Choice;
 import org.damaskmoor.core.routing.KeyScope;
 import org.damaskmoor.core.routing.RequestView;
-import org.damaskmoor.core.routing.TargetId;
 import org.damaskmoor.node.internal.http.CallerReply;
 import org.damaskmoor.node.internal.http.OutcomeReplies;
 import org.damaskmoor.node.internal.time.Timers;
@@ -192,7 +191,7 @@
             return;
         }
         TargetId target = choice.get().target().id();
-        if (call.sent(attempt, new CallTarget(target.node(), target.incarnation()))) {
+        if (call.sent(attempt, target)) {
             write(attempt, choice.get());
         }
     }
@@ -236,7 +235,7 @@
                 .build();
     }
 
-    private void seal(AttemptId attempt, CallTarget target) {
+    private void seal(AttemptId attempt, TargetId target) {
         SentAttempt sent = attempts.get(attempt.attempt());
         MeshFrame frame =
                 EntryFrames.seal(attempt, target, template.call().getDeadlineEpochMilliseconds());
@@ -247,7 +246,7 @@
                 () -> perform(call.sealTimeout(attempt)));
     }
 
-    private void cancel(AttemptId attempt, CallTarget target) {
+    private void cancel(AttemptId attempt, TargetId target) {
         environment.carrier().send(target.node(), EntryFrames.cancel(attempt));
     }
 
--- a/node/src/main/java/org/damaskmoor/node/internal/entry/EntryFrames.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/EntryFrames.java
@@ -1,8 +1,8 @@
 package org.damaskmoor.node.internal.entry;
 
 import org.damaskmoor.core.id.RequestId;
+import org.damaskmoor.core.id.TargetId;
 import org.damaskmoor.core.once.AttemptId;
-import org.damaskmoor.core.once.CallTarget;
 import org.damaskmoor.schema.mesh.CancelCall;
 import org.damaskmoor.schema.mesh.MeshFrame;
 import org.damaskmoor.schema.mesh.SealRequest;
@@ -11,7 +11,7 @@
 final class EntryFrames {
     private EntryFrames() {}
 
-    static MeshFrame seal(AttemptId attempt, CallTarget target, long deadlineEpochMilliseconds) {
+    static MeshFrame seal(AttemptId attempt, TargetId target, long deadlineEpochMilliseconds) {
         return MeshFrame.newBuilder()
                 .setSeal(
                         SealRequest.newBuilder()
--- a/node/src/main/java/org/damaskmoor/node/internal/entry/SentAttempt.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/entry/SentAttempt.java
@@ -1,8 +1,8 @@
 package org.damaskmoor.node.internal.entry;
 
 import java.util.function.LongSupplier;
+import org.damaskmoor.core.id.TargetId;
 import org.damaskmoor.core.routing.Choice;
-import org.damaskmoor.core.routing.TargetId;
 import org.damaskmoor.node.internal.time.Timers;
 import org.damaskmoor.schema.mesh.CallRefused;
 import org.damaskmoor.schema.mesh.LoadReport;
--- a/node/src/main/java/org/damaskmoor/node/internal/load/LoadProbes.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/load/LoadProbes.java
@@ -7,11 +7,11 @@
 import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.core.id.RegionName;
 import org.damaskmoor.core.id.ServiceName;
+import org.damaskmoor.core.id.TargetId;
 import org.damaskmoor.core.load.MeasuringBudget;
 import org.damaskmoor.core.load.MeasuringKind;
 import org.damaskmoor.core.load.ProbePlanner;
 import org.damaskmoor.core.routing.Router;
-import org.damaskmoor.core.routing.TargetId;
 import org.damaskmoor.schema.mesh.LoadProbe;
 import org.damaskmoor.schema.mesh.MeshFrame;
 
--- a/node/src/main/java/org/damaskmoor/node/internal/load/WatchedRouter.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/load/WatchedRouter.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.core.id.TargetId;
 import org.damaskmoor.core.load.ProbePlanner;
 import org.damaskmoor.core.load.RegionSummary;
 import org.damaskmoor.core.routing.CandidateWeight;
@@ -13,7 +14,6 @@
 import org.damaskmoor.core.routing.RequestView;
 import org.damaskmoor.core.routing.Router;
 import org.damaskmoor.core.routing.Target;
-import org.damaskmoor.core.routing.TargetId;
 import org.damaskmoor.schema.mesh.LoadReport;
 import org.damaskmoor.schema.mesh.RefusalReason;
 
