--- /dev/null
+++ b/core/src/test/java/org/damaskmoor/core/settings/SettingsPageTest.java
@@ -0,0 +1,40 @@
+package org.damaskmoor.core.settings;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.protobuf.Descriptors.Descriptor;
+import com.google.protobuf.Descriptors.FieldDescriptor;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.damaskmoor.schema.settings.NodeSettings;
+import org.damaskmoor.schema.settings.OperatorSettings;
+import org.damaskmoor.schema.settings.Setting;
+import org.damaskmoor.schema.settings.SettingsProto;
+import org.junit.jupiter.api.Test;
+
+class SettingsPageTest {
+    private final String page;
+
+    SettingsPageTest() throws IOException {
+        page = Files.readString(Path.of("..", "docs", "SETTINGS.md"));
+    }
+
+    @Test
+    void should_describe_every_setting_of_a_node_when_it_stands_in_the_schema() {
+        assertEachIsDescribed(NodeSettings.getDescriptor());
+    }
+
+    @Test
+    void should_describe_every_setting_of_the_operator_when_it_stands_in_the_schema() {
+        assertEachIsDescribed(OperatorSettings.getDescriptor());
+    }
+
+    private void assertEachIsDescribed(Descriptor settings) {
+        for (FieldDescriptor field : settings.getFields()) {
+            Setting setting = field.getOptions().getExtension(SettingsProto.setting);
+            assertThat(page).contains("| `" + setting.getFlag() + "` |");
+            assertThat(page).contains("| " + setting.getDescription() + " |");
+        }
+    }
+}
