--- /dev/null
+++ b/core/src/main/java/org/damaskmoor/core/placement/TargetEstimate.java
@@ -0,0 +1,138 @@
+package org.damaskmoor.core.placement;
+
+/**
+ * What an entry node expects of one target: from its last report, from its age, and from the calls
+ * that this node itself has sent there since.
+ *
+ * <p>Answers load that moves faster than reports: slowness that was told fades towards the usual
+ * one within {@link #SLOWNESS_MEMORY_MILLISECONDS}, and calls that are out for long count against
+ * the target before any answer comes. Times are in milliseconds of one monotonic clock. Not
+ * thread-safe.
+ */
+public final class TargetEstimate {
+    /** The slowness of a VM is forgotten at this pace; shared VMs change several times a second. */
+    private static final double SLOWNESS_MEMORY_MILLISECONDS = 250;
+
+    /** Calls of other entries that a report counted are forgotten at this pace. */
+    private static final double OTHERS_MEMORY_MILLISECONDS = 600;
+
+    /** Slowness of a VM of which nothing is known, between an idle and a crowded one. */
+    private static final double UNKNOWN_SLOWNESS = 1.5;
+
+    /** Weight of one report in the usual slowness. */
+    private static final double USUAL_NEWS_WEIGHT = 0.05;
+
+    /** Weight of one outcome in the failure rate. */
+    private static final double FAILURE_NEWS_WEIGHT = 0.15;
+
+    /** A failure rate halves in this time without news, so that a target is tried again. */
+    private static final double FAILURE_HALF_LIFE_MILLISECONDS = 2000;
+
+    /** An upstream that has just started is about this much slower. */
+    private static final double COLD_FACTOR = 2;
+
+    private final Nearness nearness;
+    private LoadSnapshot report;
+    private long reportedAt;
+    private int ownAtReport;
+    private int ownInFlight;
+    private long sumOfSent;
+    private double usualSlowness = UNKNOWN_SLOWNESS;
+    private double failureRate;
+    private long failureAt;
+    private long avoidUntil;
+
+    public TargetEstimate(Nearness nearness, int slots, long now) {
+        this.nearness = nearness;
+        this.report = LoadSnapshot.unknown(slots);
+        this.reportedAt = now;
+    }
+
+    /** How far it stands from here. */
+    public Nearness nearness() {
+        return nearness;
+    }
+
+    /** Calls of this node that are there. */
+    public int ownInFlight() {
+        return ownInFlight;
+    }
+
+    /** A report came. */
+    public void hear(LoadSnapshot news, long now) {
+        report = news;
+        reportedAt = now;
+        ownAtReport = ownInFlight;
+        if (news.slowness() > 0) {
+            usualSlowness += USUAL_NEWS_WEIGHT * (news.slowness() - usualSlowness);
+        }
+    }
+
+    /** A call was sent there. */
+    public void sent(long now) {
+        ownInFlight++;
+        sumOfSent += now;
+    }
+
+    /** A call that was sent at the given time has ended there, in whatever way. */
+    public void ended(long sentAt) {
+        ownInFlight--;
+        sumOfSent -= sentAt;
+        ownAtReport = Math.max(0, ownAtReport - 1);
+    }
+
+    /** A call was answered or failed. */
+    public void outcome(boolean failed, long now) {
+        double rate = failureRate(now);
+        failureRate = rate + FAILURE_NEWS_WEIGHT * ((failed ? 1 : 0) - rate);
+        failureAt = now;
+    }
+
+    /** Leaves it out until the given time: it refused, or can't be reached. */
+    public void avoidUntil(long time) {
+        avoidUntil = Math.max(avoidUntil, time);
+    }
+
+    /** It was heard from, so it can be reached. */
+    public void reachable() {
+        avoidUntil = 0;
+    }
+
+    /** Whether calls may be sent there now. */
+    public boolean isAvoided(long now) {
+        return now < avoidUntil;
+    }
+
+    /** Part of recent calls that failed. */
+    public double failureRate(long now) {
+        double age = Math.max(0, now - failureAt);
+        return failureRate * Math.pow(0.5, age / FAILURE_HALF_LIFE_MILLISECONDS);
+    }
+
+    /** How long work is expected to take there now, 1 is as usual. */
+    public double slowness(long now) {
+        double age = now - reportedAt + report.slownessAgeMilliseconds();
+        double told = report.slowness() > 0 ? report.slowness() : usualSlowness;
+        double memory = Math.exp(-age / SLOWNESS_MEMORY_MILLISECONDS);
+        double slowness = usualSlowness + (told - usualSlowness) * memory;
+        boolean cold = now - reportedAt < report.coldMilliseconds();
+        return cold ? slowness * COLD_FACTOR : slowness;
+    }
+
+    /** Calls expected there now, those of other entries included. */
+    public double expectedCalls(long now) {
+        int others = Math.max(0, report.running() + report.waiting() - ownAtReport);
+        double memory = Math.exp(-(now - reportedAt) / OTHERS_MEMORY_MILLISECONDS);
+        return ownInFlight + others * memory;
+    }
+
+    /** Mean time that calls of this node have been out, in milliseconds; 0 when none is. */
+    double meanAge(long now) {
+        return ownInFlight == 0 ? 0 : (double) (now * ownInFlight - sumOfSent) / ownInFlight;
+    }
+
+    /** Calls that may run there at once. */
+    int limit() {
+        return Math.max(1, report.limit());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/damaskmoor/core/routes/RouteTable.java
@@ -0,0 +1,113 @@
+package org.damaskmoor.core.routes;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import org.damaskmoor.core.id.ServiceName;
+
+/**
+ * One version of the operator's configuration, ready to be asked for the route of a request.
+ *
+ * <pre>{@code
+ * Optional<Route> route = table.match("shop.example:80", "/prices/7");
+ * }</pre>
+ *
+ * <p>The longest prefix that begins the path wins. Immutable and thread-safe.
+ */
+public final class RouteTable {
+    private final long version;
+    private final Map<String, Map<String, Route>> prefixesByHost = new HashMap<>();
+    private final Map<ServiceName, ServiceEntry> services = new HashMap<>();
+    private final List<Route> routes;
+    private final CallerLimits limits;
+
+    /**
+     * Compiles a configuration.
+     *
+     * @throws IllegalArgumentException when a route names a service that is not configured, or two
+     *     routes have the same host and prefix
+     */
+    public RouteTable(
+            long version,
+            Collection<Route> routes,
+            Collection<ServiceEntry> services,
+            CallerLimits limits) {
+        this.version = version;
+        this.limits = limits;
+        this.routes = List.copyOf(routes);
+        services.forEach(service -> this.services.put(service.name(), service));
+        routes.forEach(this::add);
+    }
+
+    private void add(Route route) {
+        for (RoutePart part : route.parts()) {
+            if (!services.containsKey(part.service())) {
+                throw new IllegalArgumentException(
+                        "Route "
+                                + route.name()
+                                + " names the service "
+                                + part.service()
+                                + ", which is not configured.");
+            }
+        }
+        Route same =
+                prefixesByHost
+                        .computeIfAbsent(route.host(), host -> new HashMap<>())
+                        .putIfAbsent(route.prefix(), route);
+        if (same != null) {
+            throw new IllegalArgumentException(
+                    "Routes " + same.name() + " and " + route.name() + " have the same prefix.");
+        }
+    }
+
+    /** The version; a greater one is newer. */
+    public long version() {
+        return version;
+    }
+
+    /** Bounds on what callers may send. */
+    public CallerLimits limits() {
+        return limits;
+    }
+
+    /** All routes. */
+    public List<Route> routes() {
+        return routes;
+    }
+
+    /** A configured service, or empty. */
+    public Optional<ServiceEntry> service(ServiceName name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /**
+     * The route of a request.
+     *
+     * @param host the host, with or without a port
+     * @param path the path without a query
+     */
+    public Optional<Route> match(String host, String path) {
+        Map<String, Route> prefixes = prefixesByHost.get(name(host));
+        if (prefixes == null) {
+            return Optional.empty();
+        }
+        int slash = path.lastIndexOf('/');
+        while (slash >= 0) {
+            Route route = prefixes.get(path.substring(0, slash + 1));
+            if (route != null) {
+                return Optional.of(route);
+            }
+            slash = path.lastIndexOf('/', slash - 1);
+        }
+        return Optional.empty();
+    }
+
+    private static String name(String host) {
+        int colon = host.lastIndexOf(':');
+        String bare = colon < 0 ? host : host.substring(0, colon);
+        return bare.toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/damaskmoor/core/upstream/UpstreamRegister.java
@@ -0,0 +1,139 @@
+package org.damaskmoor.core.upstream;
+
+import java.util.ArrayDeque;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * What is known of the upstream on this VM: which lifetime is the present one, whether it leaves,
+ * and whether it answers. Answers announcements that come late, twice, or from a former lifetime.
+ *
+ * <p>Invariants: an older announcement never replaces a newer one; a lifetime that has said that it
+ * leaves never takes new calls again. Times are in milliseconds of one monotonic clock. Not
+ * thread-safe.
+ */
+public final class UpstreamRegister {
+    /** Former lifetimes whose late announcements are recognised. */
+    private static final int REMEMBERED_LIFETIMES = 16;
+
+    /** Before the end of the drain time, so that a call on its way arrives within it. */
+    private static final long DRAIN_MARGIN_MILLISECONDS = 400;
+
+    private final long drainMilliseconds;
+    private final ArrayDeque<UpstreamAnnouncement> left = new ArrayDeque<>();
+    private UpstreamAnnouncement current;
+    private boolean leaving;
+    private long leavingSince;
+    private boolean down;
+    private long coldUntil;
+
+    /**
+     * Creates a register without an upstream.
+     *
+     * @param drainMilliseconds how long after its word a leaving upstream may get calls
+     */
+    public UpstreamRegister(long drainMilliseconds) {
+        this.drainMilliseconds = drainMilliseconds;
+    }
+
+    /** What an announcement changed. */
+    public enum Change {
+        /** Nothing. */
+        NONE,
+        /** A lifetime that was not known is here, or a known one answers again. */
+        APPEARED,
+        /** The upstream leaves. */
+        LEAVING
+    }
+
+    /** The upstream announced itself. */
+    public Change announce(UpstreamAnnouncement news, long now) {
+        if (hasLeft(news) || (current != null && !news.isNewerThan(current))) {
+            return Change.NONE;
+        }
+        boolean sameLifetime = current != null && news.isSameLifetime(current);
+        boolean wasDown = down;
+        current = news;
+        coldUntil = now + news.coldMilliseconds();
+        if (!sameLifetime) {
+            leaving = false;
+        }
+        down = false;
+        if (news.draining() && !leaving) {
+            return leave(now);
+        }
+        return !sameLifetime || (wasDown && !leaving) ? Change.APPEARED : Change.NONE;
+    }
+
+    /**
+     * The upstream said that it goes.
+     *
+     * @param born start of the lifetime that goes, when it was told
+     */
+    public Change leave(UpstreamId id, OptionalLong born, long now) {
+        boolean present =
+                current != null
+                        && current.id().equals(id)
+                        && (born.isEmpty() || born.getAsLong() == current.bornEpochMilliseconds());
+        if (!present || leaving) {
+            return Change.NONE;
+        }
+        return leave(now);
+    }
+
+    private Change leave(long now) {
+        leaving = true;
+        leavingSince = now;
+        left.addLast(current);
+        if (left.size() > REMEMBERED_LIFETIMES) {
+            left.removeFirst();
+        }
+        return Change.LEAVING;
+    }
+
+    private boolean hasLeft(UpstreamAnnouncement news) {
+        return left.stream().anyMatch(news::isSameLifetime)
+                && (current == null || !news.isSameLifetime(current));
+    }
+
+    /** Its address does not answer, or another upstream answers there. */
+    public void down() {
+        down = true;
+    }
+
+    /** It was reached. */
+    public void up() {
+        down = false;
+    }
+
+    /** Whether its address did not answer when it was last used. */
+    public boolean isDown() {
+        return down;
+    }
+
+    /** Whether it has said that it leaves. */
+    public boolean isLeaving() {
+        return leaving;
+    }
+
+    /** The present lifetime, or empty before the first announcement. */
+    public Optional<UpstreamAnnouncement> current() {
+        return Optional.ofNullable(current);
+    }
+
+    /** Whether new calls are taken for it. */
+    public boolean takesCalls() {
+        return current != null && !leaving && !down;
+    }
+
+    /** Whether a call that was taken earlier may still be handed over. */
+    public boolean mayRun(long now) {
+        boolean inTime = now < leavingSince + drainMilliseconds - DRAIN_MARGIN_MILLISECONDS;
+        return current != null && (!leaving || inTime);
+    }
+
+    /** How much longer it is slow after its start, in milliseconds. */
+    public long coldMilliseconds(long now) {
+        return Math.max(0, coldUntil - now);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/damaskmoor/core/waiting/WaitingCall.java
@@ -0,0 +1,19 @@
+package org.damaskmoor.core.waiting;
+
+/**
+ * A call that asks to run at an upstream. Immutable and thread-safe.
+ *
+ * @param handle what the caller of the room knows it by
+ * @param priority 0 is the most urgent
+ * @param goalAt until when its answer has its full worth, in milliseconds of the room's clock
+ * @param deadlineAt until when anyone waits for it
+ * @param usualMilliseconds what such calls take on an idle VM; 0 when unknown
+ * @param lastChoice whether its entry has no better target to try
+ */
+public record WaitingCall<T>(
+        T handle,
+        int priority,
+        long goalAt,
+        long deadlineAt,
+        double usualMilliseconds,
+        boolean lastChoice) {}
--- /dev/null
+++ b/core/src/main/java/org/damaskmoor/core/waiting/WaitingRoom.java
@@ -0,0 +1,219 @@
+package org.damaskmoor.core.waiting;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+
+/**
+ * Calls that wait beside one upstream for a slot; answers bursts that are longer than the slots and
+ * shorter than the callers' patience.
+ *
+ * <pre>{@code
+ * Verdict verdict = room.offer(call, slowness, now);
+ * // hand over, keep or send back; whenever a call has ended:
+ * room.ended(milliseconds);
+ * room.hopeless(now).forEach(this::sendBack);
+ * for (T call = room.next(now); call != null; call = room.next(now)) { handOver(call); }
+ * }</pre>
+ *
+ * <p>A call waits only where its turn is expected before its answer loses its worth; otherwise it
+ * is sent back at once, so that its caller can go elsewhere or come again. The most urgent go
+ * first; among equals those that can still reach their goal, the one with the nearest goal first.
+ * An urgent call takes the place of a less urgent one when the room is full.
+ *
+ * <p>Invariants: never more running than the limit, save after the limit fell; a call leaves the
+ * room once. Times are in milliseconds of one monotonic clock. Not thread-safe.
+ */
+public final class WaitingRoom<T> {
+    /** Weight of one service time in the mean. */
+    private static final double NEWS_WEIGHT = 0.1;
+
+    /** Service time before any is known, in milliseconds. */
+    private static final double FIRST_SERVICE_MILLISECONDS = 100;
+
+    /** Most that wait for each slot: more than this could not be served within any goal. */
+    private static final int MOST_WAITING_PER_SLOT = 4;
+
+    /** A call that will miss its goal may wait for this part of what is left to its deadline. */
+    private static final double LATE_WAIT_SHARE = 0.3;
+
+    /** Least part of its usual time that a call needs before its deadline to be worth running. */
+    private static final double LEAST_WORK_SHARE = 0.5;
+
+    private static final long LEAST_RETRY_AFTER_MILLISECONDS = 50;
+    private static final long MOST_RETRY_AFTER_MILLISECONDS = 3000;
+
+    private final List<WaitingCall<T>> waiting = new ArrayList<>();
+    private final List<T> displaced = new ArrayList<>();
+    private int limit = 1;
+    private int running;
+    private double serviceMilliseconds = FIRST_SERVICE_MILLISECONDS;
+
+    /** Sets how many may run at once. */
+    public void limit(int calls) {
+        limit = Math.max(1, calls);
+    }
+
+    /** How many may run at once. */
+    public int limit() {
+        return limit;
+    }
+
+    /** Calls that run now. */
+    public int running() {
+        return running;
+    }
+
+    /** Calls that wait now. */
+    public int waiting() {
+        return waiting.size();
+    }
+
+    /** Mean of recent service times, in milliseconds. */
+    public double serviceMilliseconds() {
+        return serviceMilliseconds;
+    }
+
+    /**
+     * A call asks to run.
+     *
+     * @param slowness how long work takes on this VM now, 1 is as usual
+     */
+    public Verdict offer(WaitingCall<T> call, double slowness, long now) {
+        if (running < limit && waiting.isEmpty()) {
+            running++;
+            return Verdict.START;
+        }
+        double service = Math.max(1, call.usualMilliseconds() * slowness);
+        double wait = expectedWait(call);
+        boolean reachesGoal = now + wait + service <= call.goalAt();
+        boolean worthWaiting =
+                reachesGoal
+                        || (call.lastChoice()
+                                && wait <= LATE_WAIT_SHARE * (call.deadlineAt() - now)
+                                && now + wait + service <= call.deadlineAt());
+        if (!worthWaiting || !makeRoom(call)) {
+            return Verdict.sendBack(retryAfter(wait));
+        }
+        waiting.add(call);
+        return Verdict.WAIT;
+    }
+
+    /** The next call to hand over, or null when none may start now. */
+    public T next(long now) {
+        if (running >= limit || waiting.isEmpty()) {
+            return null;
+        }
+        WaitingCall<T> best = waiting.get(0);
+        for (WaitingCall<T> call : waiting) {
+            if (goesBefore(call, best, now)) {
+                best = call;
+            }
+        }
+        waiting.remove(best);
+        running++;
+        return best.handle();
+    }
+
+    /** Takes out the calls that can no longer be served in time. */
+    public List<T> hopeless(long now) {
+        List<T> hopeless = List.of();
+        Iterator<WaitingCall<T>> calls = waiting.iterator();
+        while (calls.hasNext()) {
+            WaitingCall<T> call = calls.next();
+            if (now + LEAST_WORK_SHARE * call.usualMilliseconds() >= call.deadlineAt()) {
+                calls.remove();
+                hopeless = hopeless.isEmpty() ? new ArrayList<>() : hopeless;
+                hopeless.add(call.handle());
+            }
+        }
+        return hopeless;
+    }
+
+    /** Takes out the calls whose places more urgent ones have taken since the last question. */
+    public List<T> takeDisplaced() {
+        if (displaced.isEmpty()) {
+            return List.of();
+        }
+        List<T> taken = List.copyOf(displaced);
+        displaced.clear();
+        return taken;
+    }
+
+    /** Takes all calls out. */
+    public List<T> takeAll() {
+        List<T> all = new ArrayList<>();
+        waiting.forEach(call -> all.add(call.handle()));
+        waiting.clear();
+        return all;
+    }
+
+    /** Takes a waiting call out. False: it does not wait here. */
+    public boolean remove(T handle) {
+        return waiting.removeIf(call -> call.handle().equals(handle));
+    }
+
+    /** A call that ran was answered. */
+    public void ended(double milliseconds) {
+        abandoned();
+        serviceMilliseconds += NEWS_WEIGHT * (milliseconds - serviceMilliseconds);
+    }
+
+    /** A call that ran has ended without telling how long such calls take. */
+    public void abandoned() {
+        running--;
+    }
+
+    /** When room for one more call is expected, in milliseconds from now. */
+    public long retryAfterMilliseconds() {
+        return retryAfter((waiting.size() + 1) * serviceMilliseconds / limit);
+    }
+
+    private double expectedWait(WaitingCall<T> coming) {
+        int ahead = 1 + Math.max(0, running - limit);
+        for (WaitingCall<T> call : waiting) {
+            if (call.priority() <= coming.priority()) {
+                ahead++;
+            }
+        }
+        return ahead * serviceMilliseconds / limit;
+    }
+
+    private boolean makeRoom(WaitingCall<T> coming) {
+        if (waiting.size() < MOST_WAITING_PER_SLOT * limit) {
+            return true;
+        }
+        WaitingCall<T> least = null;
+        for (WaitingCall<T> call : waiting) {
+            if (least == null
+                    || call.priority() > least.priority()
+                    || (call.priority() == least.priority() && call.goalAt() > least.goalAt())) {
+                least = call;
+            }
+        }
+        if (least == null || least.priority() <= coming.priority()) {
+            return false;
+        }
+        waiting.remove(least);
+        displaced.add(least.handle());
+        return true;
+    }
+
+    private boolean goesBefore(WaitingCall<T> call, WaitingCall<T> other, long now) {
+        if (call.priority() != other.priority()) {
+            return call.priority() < other.priority();
+        }
+        boolean inTime = now + call.usualMilliseconds() <= call.goalAt();
+        boolean otherInTime = now + other.usualMilliseconds() <= other.goalAt();
+        if (inTime != otherInTime) {
+            return inTime;
+        }
+        return call.goalAt() < other.goalAt();
+    }
+
+    private static long retryAfter(double milliseconds) {
+        long rounded = Math.round(milliseconds);
+        return Math.max(
+                LEAST_RETRY_AFTER_MILLISECONDS, Math.min(MOST_RETRY_AFTER_MILLISECONDS, rounded));
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/damaskmoor/relay/RelayMain.java
@@ -0,0 +1,103 @@
+package org.damaskmoor.relay;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.nio.file.Path;
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CountDownLatch;
+import org.damaskmoor.core.settings.SettingsException;
+import org.damaskmoor.platform.machines.SettingsPlace;
+import org.damaskmoor.relay.internal.RelayNode;
+import org.damaskmoor.relay.internal.SettingsWatch;
+import org.damaskmoor.relay.internal.log.BoundedEventLog;
+import org.damaskmoor.relay.internal.time.LoopTimers;
+
+/** The relay program. Runs until it is told to stop. */
+public final class RelayMain {
+    private static final int EXIT_PLANNED_STOP = 0;
+    private static final int EXIT_NOT_STARTED = 1;
+    private static final int EXIT_BAD_SETTING = 2;
+    private static final String CHECK = "--check-settings";
+    private static final String USAGE =
+            """
+            usage: damaskmoor-relay [--check-settings] [SETTINGS-FILE]
+              SETTINGS-FILE     properties; without it, the file that the platform names
+              --check-settings  only says whether the settings can be used""";
+
+    private RelayMain() {}
+
+    public static void main(String[] arguments) {
+        System.exit(run(arguments));
+    }
+
+    private static int run(String[] arguments) {
+        boolean check = arguments.length > 0 && arguments[0].equals(CHECK);
+        Optional<Path> file = settingsFile(arguments, check ? 1 : 0);
+        if (file.isEmpty()) {
+            System.err.println(USAGE);
+            return EXIT_BAD_SETTING;
+        }
+        RelaySettings settings;
+        try {
+            settings = RelaySettingsReader.read(file.get());
+        } catch (SettingsException unusable) {
+            System.err.println(unusable.getMessage());
+            return EXIT_BAD_SETTING;
+        }
+        return check ? EXIT_PLANNED_STOP : run(settings, file.get());
+    }
+
+    private static Optional<Path> settingsFile(String[] arguments, int first) {
+        if (arguments.length > first + 1) {
+            return Optional.empty();
+        }
+        if (arguments.length == first + 1) {
+            boolean option = arguments[first].startsWith("-");
+            return option ? Optional.empty() : Optional.of(Path.of(arguments[first]));
+        }
+        return SettingsPlace.of(System.getenv());
+    }
+
+    private static int run(RelaySettings settings, Path file) {
+        EventLoop loop = new NioEventLoopGroup(1).next();
+        LoopTimers timers = new LoopTimers(loop);
+        BoundedEventLog log = new BoundedEventLog(timers, System.out);
+        RelayNode node = new RelayNode(settings, loop, timers, log);
+        SettingsWatch watch = new SettingsWatch(file, settings, timers, log);
+        try {
+            loop.submit(node::start).get().join();
+        } catch (CompletionException | java.util.concurrent.ExecutionException failure) {
+            System.err.println("The relay could not start: " + failure.getCause().getMessage());
+            return EXIT_NOT_STARTED;
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            return EXIT_NOT_STARTED;
+        }
+        loop.execute(watch::start);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(loop, node, log), "stop"));
+        waitForSignal();
+        return EXIT_PLANNED_STOP;
+    }
+
+    /** A planned stop ends with 0, although a signal asked for it. */
+    private static void stop(EventLoop loop, RelayNode node, BoundedEventLog log) {
+        CountDownLatch stopped = new CountDownLatch(1);
+        loop.execute(() -> node.stop().thenRun(stopped::countDown));
+        try {
+            stopped.await();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+        log.close();
+        Runtime.getRuntime().halt(EXIT_PLANNED_STOP);
+    }
+
+    private static void waitForSignal() {
+        try {
+            new CountDownLatch(1).await();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/damaskmoor/relay/RelaySettingsReader.java
@@ -0,0 +1,163 @@
+package org.damaskmoor.relay;
+
+import java.io.IOException;
+import java.io.Reader;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.Properties;
+import java.util.function.Function;
+import org.damaskmoor.core.id.DataCentreName;
+import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.core.id.RegionName;
+import org.damaskmoor.core.id.ServiceName;
+import org.damaskmoor.core.settings.SettingFault;
+import org.damaskmoor.core.settings.SettingsException;
+
+/**
+ * Reads the settings of a relay from a properties file and lists all faults at once.
+ *
+ * <p>Confined to one thread.
+ */
+public final class RelaySettingsReader {
+    private static final long MILLISECONDS_PER_SECOND = 1000;
+
+    private final Properties properties;
+    private final List<SettingFault> faults = new ArrayList<>();
+
+    private RelaySettingsReader(Properties properties) {
+        this.properties = properties;
+    }
+
+    /**
+     * Reads a file.
+     *
+     * @throws SettingsException when it can't be read, or with the list of its faults
+     */
+    public static RelaySettings read(Path file) throws SettingsException {
+        Properties properties = new Properties();
+        try (Reader reader = Files.newBufferedReader(file)) {
+            properties.load(reader);
+        } catch (IOException | IllegalArgumentException unreadable) {
+            throw new SettingsException(
+                    List.of(
+                            new SettingFault(
+                                    "settings file",
+                                    file.toString(),
+                                    "a readable properties file, but: "
+                                            + unreadable.getMessage())));
+        }
+        return read(properties);
+    }
+
+    /**
+     * Checks properties.
+     *
+     * @throws SettingsException with the list of their faults
+     */
+    public static RelaySettings read(Properties properties) throws SettingsException {
+        return new RelaySettingsReader(properties).settings();
+    }
+
+    private RelaySettings settings() throws SettingsException {
+        Optional<NodeId> node = value("node-id", NodeId::new);
+        Optional<RegionName> region = value("region", RegionName::new);
+        Optional<DataCentreName> dataCentre = value("data-centre", DataCentreName::new);
+        Optional<ServiceName> service = value("service", ServiceName::new);
+        Optional<InetSocketAddress> callers = address("caller-address");
+        Optional<InetSocketAddress> links = address("link-address");
+        Optional<InetSocketAddress> readiness = address("readiness-address");
+        Optional<InetSocketAddress> announcements = address("announcement-address");
+        Optional<InetSocketAddress> upstream = address("upstream-address");
+        Optional<InetSocketAddress> store = address("store-address");
+        Optional<InetSocketAddress> metrics =
+                text("metrics-address").isEmpty() ? Optional.empty() : address("metrics-address");
+        Optional<Long> drain = value("drain", RelaySettingsReader::milliseconds);
+        Optional<Long> stop = value("stop-timeout", RelaySettingsReader::milliseconds);
+        Optional<Double> ratio = value("retry-ratio", RelaySettingsReader::notNegative);
+        Optional<Double> slack = value("retry-slack", RelaySettingsReader::notNegative);
+        Optional<Long> window = value("retry-window", RelaySettingsReader::milliseconds);
+        if (!faults.isEmpty()) {
+            throw new SettingsException(faults);
+        }
+        return new RelaySettings(
+                node.get(),
+                region.get(),
+                dataCentre.get(),
+                service.get(),
+                callers.get(),
+                links.get(),
+                readiness.get(),
+                announcements.get(),
+                upstream.get(),
+                store.get(),
+                metrics,
+                list("seeds"),
+                drain.get(),
+                stop.get(),
+                ratio.get(),
+                slack.get(),
+                window.get());
+    }
+
+    private String text(String name) {
+        return properties.getProperty(name, "").trim();
+    }
+
+    private List<String> list(String name) {
+        return Arrays.stream(text(name).split(","))
+                .map(String::trim)
+                .filter(entry -> !entry.isEmpty())
+                .toList();
+    }
+
+    private Optional<InetSocketAddress> address(String name) {
+        return value(name, RelaySettingsReader::hostAndPort);
+    }
+
+    private <T> Optional<T> value(String name, Function<String, T> reader) {
+        String text = text(name);
+        if (text.isEmpty()) {
+            faults.add(new SettingFault(name, "", "a value"));
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(reader.apply(text));
+        } catch (IllegalArgumentException unusable) {
+            faults.add(new SettingFault(name, text, unusable.getMessage()));
+            return Optional.empty();
+        }
+    }
+
+    private static InetSocketAddress hostAndPort(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0) {
+            throw new IllegalArgumentException("HOST:PORT");
+        }
+        int port = Integer.parseInt(text.substring(colon + 1));
+        return new InetSocketAddress(text.substring(0, colon), port);
+    }
+
+    private static long milliseconds(String text) {
+        if (text.endsWith("ms")) {
+            return Math.round(notNegative(text.substring(0, text.length() - 2)));
+        }
+        if (text.endsWith("s")) {
+            double seconds = notNegative(text.substring(0, text.length() - 1));
+            return Math.round(seconds * MILLISECONDS_PER_SECOND);
+        }
+        throw new IllegalArgumentException("a number that ends with ms or s");
+    }
+
+    private static double notNegative(String text) {
+        double number = Double.parseDouble(text);
+        if (!(number >= 0)) {
+            throw new IllegalArgumentException("a number that is not negative");
+        }
+        return number;
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/CrashBoard.java
@@ -0,0 +1,86 @@
+package org.damaskmoor.relay.internal;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.damaskmoor.core.id.Incarnation;
+import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.core.quarantine.CrashRecord;
+import org.damaskmoor.core.quarantine.Quarantine;
+import org.damaskmoor.core.quarantine.RequestFingerprint;
+import org.damaskmoor.relay.internal.entry.CrashedRequests;
+import org.damaskmoor.relay.internal.time.Timers;
+import org.damaskmoor.schema.gossip.QuarantineRecord;
+
+/** The crashes of upstreams that this node knows of. Confined to the event loop. */
+final class CrashBoard implements CrashedRequests {
+    private final NodeId self;
+    private final Incarnation incarnation;
+    private final Timers timers;
+    private final Quarantine quarantine = Quarantine.create();
+    private boolean any;
+    private long crashes;
+
+    CrashBoard(NodeId self, Incarnation incarnation, Timers timers) {
+        this.self = self;
+        this.incarnation = incarnation;
+        this.timers = timers;
+    }
+
+    /** The own upstream crashed; returns what peers are to be told. */
+    List<QuarantineRecord> crashed(Collection<RequestFingerprint> running) {
+        if (running.isEmpty()) {
+            return List.of();
+        }
+        any = true;
+        crashes++;
+        Incarnation crash = new Incarnation(incarnation.value() + crashes);
+        List<QuarantineRecord> records = new ArrayList<>();
+        quarantine
+                .onCrash(self, crash, running, now())
+                .forEach(record -> records.add(record.toMessage()));
+        return records;
+    }
+
+    /** Peers told of crashes; returns those that were news. */
+    List<QuarantineRecord> merge(List<QuarantineRecord> told) {
+        List<QuarantineRecord> news = new ArrayList<>();
+        for (QuarantineRecord record : told) {
+            if (quarantine.merge(CrashRecord.of(record), now())) {
+                any = true;
+                news.add(record);
+            }
+        }
+        return news;
+    }
+
+    /** All that is known. */
+    List<QuarantineRecord> records() {
+        List<QuarantineRecord> records = new ArrayList<>();
+        quarantine.records(now()).forEach(record -> records.add(record.toMessage()));
+        return records;
+    }
+
+    void answered(RequestFingerprint request) {
+        quarantine.onAnswered(request, now());
+    }
+
+    @Override
+    public boolean isAny() {
+        return any;
+    }
+
+    @Override
+    public boolean holds(RequestFingerprint request) {
+        return any && quarantine.holds(request, now());
+    }
+
+    private static long nanoseconds(long milliseconds) {
+        return TimeUnit.MILLISECONDS.toNanos(milliseconds);
+    }
+
+    private long now() {
+        return nanoseconds(timers.now());
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/LocalLink.java
@@ -0,0 +1,71 @@
+package org.damaskmoor.relay.internal;
+
+import org.damaskmoor.relay.internal.link.CallLink;
+import org.damaskmoor.relay.internal.link.CallOutcomes;
+import org.damaskmoor.relay.internal.link.EntryName;
+import org.damaskmoor.relay.internal.target.TargetDesk;
+import org.damaskmoor.relay.internal.time.Timers;
+import org.damaskmoor.schema.link.CallCancel;
+import org.damaskmoor.schema.link.CallSeal;
+import org.damaskmoor.schema.link.FleetNews;
+import org.damaskmoor.schema.link.ForwardedCall;
+
+/** The way from this node's entry to its own target. Confined to the event loop. */
+final class LocalLink implements CallLink {
+    private final EntryName self;
+    private final TargetDesk target;
+    private final CallOutcomes outcomes;
+    private final Timers timers;
+
+    LocalLink(EntryName self, TargetDesk target, CallOutcomes outcomes, Timers timers) {
+        this.self = self;
+        this.target = target;
+        this.outcomes = outcomes;
+        this.timers = timers;
+    }
+
+    @Override
+    public boolean isUp() {
+        return true;
+    }
+
+    @Override
+    public long targetIncarnation() {
+        return self.incarnation().value();
+    }
+
+    @Override
+    public void open() {
+        // Always open.
+    }
+
+    @Override
+    public void send(ForwardedCall call) {
+        timers.soon(() -> target.call(self, call, outcomes));
+    }
+
+    @Override
+    public void send(CallSeal seal) {
+        timers.soon(() -> target.seal(self, seal, outcomes));
+    }
+
+    @Override
+    public void send(CallCancel cancel) {
+        timers.soon(() -> target.cancel(self, cancel));
+    }
+
+    @Override
+    public void send(FleetNews news) {
+        // What this node knows, it knows.
+    }
+
+    @Override
+    public void requestNews(long configurationVersion) {
+        // What this node knows, it knows.
+    }
+
+    @Override
+    public void close() {
+        // Lives as long as the node.
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/caller/CallerServer.java
@@ -0,0 +1,146 @@
+package org.damaskmoor.relay.internal.caller;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.IntConsumer;
+import java.util.function.Supplier;
+import org.damaskmoor.core.routes.CallerLimits;
+import org.damaskmoor.relay.internal.net.Listening;
+import org.damaskmoor.relay.internal.time.Timers;
+
+/** The port for callers. Confined to the event loop. */
+public final class CallerServer {
+    /** How often connections are looked at for those that are idle or slow. */
+    private static final long LOOK_MILLISECONDS = 1000;
+
+    private static final int BACKLOG = 1024;
+
+    private final EventLoop loop;
+    private final InetSocketAddress address;
+    private final Timers timers;
+    private final Supplier<CallerLimits> limits;
+    private final CallerHandler handler;
+    private final IntConsumer malformed;
+    private final Set<CallerConnection> connections = new HashSet<>();
+    private Channel listening;
+    private boolean closing;
+
+    /**
+     * Creates a server that does not listen yet.
+     *
+     * @param malformed hears of each request that could not be read, with the status it got
+     */
+    public CallerServer(
+            EventLoop loop,
+            InetSocketAddress address,
+            Timers timers,
+            Supplier<CallerLimits> limits,
+            CallerHandler handler,
+            IntConsumer malformed) {
+        this.loop = loop;
+        this.address = address;
+        this.timers = timers;
+        this.limits = limits;
+        this.handler = handler;
+        this.malformed = malformed;
+    }
+
+    /** Opens the port. */
+    public CompletableFuture<Void> start() {
+        timers.after(LOOK_MILLISECONDS, this::look);
+        ServerBootstrap bootstrap =
+                new ServerBootstrap()
+                        .group(loop)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(
+                                new ChannelInitializer<>() {
+                                    @Override
+                                    protected void initChannel(Channel channel) {
+                                        initialize(channel);
+                                    }
+                                });
+        return Listening.start(bootstrap, address, channel -> listening = channel);
+    }
+
+    private void initialize(Channel channel) {
+        int headerBytes = limits.get().headerBytes();
+        HttpDecoderConfig config =
+                new HttpDecoderConfig()
+                        .setMaxInitialLineLength(headerBytes)
+                        .setMaxHeaderSize(headerBytes);
+        channel.pipeline().addLast(new HttpServerCodec(config), new CallerConnection(this));
+    }
+
+    /** Tells callers from now on, with each reply, to connect elsewhere. */
+    public void announceClose() {
+        closing = true;
+    }
+
+    /** Whether no request is being read or served. */
+    public boolean isIdle() {
+        return connections.stream().noneMatch(CallerConnection::isBusy);
+    }
+
+    /** Closes the port and all connections. */
+    public void stop() {
+        if (listening != null) {
+            listening.close();
+        }
+        List.copyOf(connections).forEach(CallerConnection::close);
+    }
+
+    private void look() {
+        long now = timers.now();
+        CallerLimits inForce = limits.get();
+        for (CallerConnection connection : List.copyOf(connections)) {
+            connection.look(now, inForce);
+        }
+        timers.after(LOOK_MILLISECONDS, this::look);
+    }
+
+    void opened(CallerConnection connection) {
+        connections.add(connection);
+    }
+
+    void closed(CallerConnection connection) {
+        connections.remove(connection);
+    }
+
+    CallerHandler handler() {
+        return handler;
+    }
+
+    CallerLimits limits() {
+        return limits.get();
+    }
+
+    void countMalformed(int status) {
+        malformed.accept(status);
+    }
+
+    boolean isClosing() {
+        return closing;
+    }
+
+    long now() {
+        return timers.now();
+    }
+
+    void soon(Runnable task) {
+        timers.soon(task);
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryContext.java
@@ -0,0 +1,26 @@
+package org.damaskmoor.relay.internal.entry;
+
+import java.util.random.RandomGenerator;
+import org.damaskmoor.core.id.ServiceName;
+import org.damaskmoor.core.placement.TargetChooser;
+import org.damaskmoor.core.placement.UsualWork;
+import org.damaskmoor.relay.internal.fleet.FleetDirectory;
+import org.damaskmoor.relay.internal.log.EventLog;
+import org.damaskmoor.relay.internal.metrics.RelayMetrics;
+import org.damaskmoor.relay.internal.time.Timers;
+
+/**
+ * What the requests of an entry share. Immutable; its parts are confined to the event loop.
+ *
+ * @param service the service beside which requests begin here
+ */
+public record EntryContext(
+        ServiceName service,
+        FleetDirectory fleet,
+        TargetChooser chooser,
+        UsualWork usualWork,
+        RetryBudgets budgets,
+        Timers timers,
+        RandomGenerator random,
+        EventLog log,
+        RelayMetrics metrics) {}
--- /dev/null
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryDesk.java
@@ -0,0 +1,216 @@
+package org.damaskmoor.relay.internal.entry;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.damaskmoor.core.id.Incarnation;
+import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.core.id.RequestId;
+import org.damaskmoor.core.id.ServiceName;
+import org.damaskmoor.core.quarantine.RequestFingerprint;
+import org.damaskmoor.core.routes.Route;
+import org.damaskmoor.core.routes.RouteTable;
+import org.damaskmoor.core.routes.WeightedTurns;
+import org.damaskmoor.relay.internal.caller.CallerHandler;
+import org.damaskmoor.relay.internal.caller.CallerReply;
+import org.damaskmoor.relay.internal.caller.CallerRequest;
+import org.damaskmoor.relay.internal.link.CallOutcomes;
+import org.damaskmoor.schema.link.CallSealed;
+import org.damaskmoor.schema.link.ForwardedAnswer;
+import org.damaskmoor.schema.link.ForwardedCall;
+import org.damaskmoor.schema.link.ForwardedFailure;
+import org.damaskmoor.schema.link.ForwardedRefusal;
+import org.damaskmoor.schema.link.TargetLoad;
+
+/**
+ * The entry's side of requests: finds the route, divides weighted parts, and leads what targets
+ * tell to the request that it concerns.
+ *
+ * <p>Confined to the event loop. Invariant: each request of a caller gets one reply.
+ */
+public final class EntryDesk implements CallerHandler {
+    private static final int NOT_FOUND = 404;
+
+    /** When a caller may come again to a node that has no configuration yet. */
+    private static final long UNCONFIGURED_RETRY_AFTER_MILLISECONDS = 500;
+
+    /** When a caller may come again to a node that stops; its connection is closed. */
+    private static final long STOPPING_RETRY_AFTER_MILLISECONDS = 100;
+
+    /** When a caller may come again with a request that crashed upstreams. */
+    private static final long QUARANTINED_RETRY_AFTER_MILLISECONDS = 30_000;
+
+    private final NodeId self;
+    private final Incarnation incarnation;
+    private final EntryContext context;
+    private final CrashedRequests crashed;
+    private final Map<Long, EntryExchange> exchanges = new HashMap<>();
+    private final Map<String, WeightedTurns> turns = new HashMap<>();
+    private RouteTable routes;
+    private boolean closed;
+    private long sequence;
+
+    public EntryDesk(
+            NodeId self, Incarnation incarnation, EntryContext context, CrashedRequests crashed) {
+        this.self = self;
+        this.incarnation = incarnation;
+        this.context = context;
+        this.crashed = crashed;
+    }
+
+    /** Puts a configuration in force. */
+    public void configure(RouteTable newer) {
+        routes = newer;
+        turns.keySet()
+                .removeIf(name -> newer.routes().stream().noneMatch(r -> r.name().equals(name)));
+    }
+
+    /** Refuses requests that come from now on: this node is about to end. */
+    public void refuseNew() {
+        closed = true;
+    }
+
+    /** Requests that are served now. */
+    public int openRequests() {
+        return exchanges.size();
+    }
+
+    @Override
+    public Runnable handle(CallerRequest request, Consumer<CallerReply> reply) {
+        context.metrics().count("requests");
+        if (routes == null) {
+            refuse(request, "unconfigured", UNCONFIGURED_RETRY_AFTER_MILLISECONDS, reply);
+            return () -> {};
+        }
+        if (closed) {
+            refuse(request, "node-stopping", STOPPING_RETRY_AFTER_MILLISECONDS, reply);
+            return () -> {};
+        }
+        Optional<Route> route = routes.match(request.host(), request.path());
+        if (route.isEmpty()) {
+            context.log()
+                    .event("request-unrouted")
+                    .with("request", request.id())
+                    .with("host", request.host())
+                    .with("path", request.path())
+                    .with("version", routes.version())
+                    .write();
+            reply.accept(CallerReply.own(NOT_FOUND, "No route leads to this host and path."));
+            return () -> {};
+        }
+        if (isQuarantined(request)) {
+            refuse(request, "quarantined", QUARANTINED_RETRY_AFTER_MILLISECONDS, reply);
+            return () -> {};
+        }
+        return start(request, route.get(), reply);
+    }
+
+    private Runnable start(CallerRequest request, Route route, Consumer<CallerReply> reply) {
+        sequence++;
+        RequestId id = new RequestId(self, incarnation, sequence);
+        EntryExchange exchange =
+                new EntryExchange(
+                        id,
+                        request,
+                        route,
+                        next(route),
+                        context,
+                        reply,
+                        ended -> exchanges.remove(ended.id().sequence()));
+        exchanges.put(sequence, exchange);
+        exchange.start();
+        return exchange::callerGone;
+    }
+
+    private ServiceName next(Route route) {
+        if (route.parts().size() == 1) {
+            return route.parts().get(0).service();
+        }
+        WeightedTurns current = turns.get(route.name());
+        if (current == null || !current.parts().equals(route.parts())) {
+            current = new WeightedTurns(route.parts(), context.random().nextInt());
+            turns.put(route.name(), current);
+        }
+        return current.next();
+    }
+
+    private boolean isQuarantined(CallerRequest request) {
+        return crashed.isAny()
+                && crashed.holds(
+                        RequestFingerprint.of(
+                                request.method(),
+                                request.target(),
+                                request.body().toByteArray(),
+                                ""));
+    }
+
+    private void refuse(
+            CallerRequest request, String reason, long retryAfter, Consumer<CallerReply> reply) {
+        context.metrics().count("refused", reason);
+        context.log()
+                .event("request-refused")
+                .with("request", request.id())
+                .with("reason", reason)
+                .write();
+        reply.accept(CallerReply.notRun(reason, retryAfter));
+    }
+
+    /** What a target tells of calls. */
+    public CallOutcomes outcomes(NodeId target) {
+        return new Outcomes(target);
+    }
+
+    /** Calls that were not sent. */
+    public void unsent(List<ForwardedCall> calls) {
+        for (ForwardedCall call : calls) {
+            find(call.getSequence()).ifPresent(exchange -> exchange.unsent(call.getAttempt()));
+        }
+    }
+
+    /** The link to a target was lost. */
+    public void lost(NodeId target) {
+        for (EntryExchange exchange : List.copyOf(exchanges.values())) {
+            exchange.linkLost(target);
+        }
+    }
+
+    private Optional<EntryExchange> find(long number) {
+        return Optional.ofNullable(exchanges.get(number));
+    }
+
+    private final class Outcomes implements CallOutcomes {
+        private final NodeId target;
+
+        Outcomes(NodeId target) {
+            this.target = target;
+        }
+
+        @Override
+        public void answered(ForwardedAnswer answer) {
+            find(answer.getSequence()).ifPresent(exchange -> exchange.answered(answer));
+        }
+
+        @Override
+        public void refused(ForwardedRefusal refusal) {
+            find(refusal.getSequence()).ifPresent(exchange -> exchange.refused(refusal));
+        }
+
+        @Override
+        public void failed(ForwardedFailure failure) {
+            find(failure.getSequence()).ifPresent(exchange -> exchange.failed(failure));
+        }
+
+        @Override
+        public void sealed(CallSealed sealed) {
+            find(sealed.getSequence()).ifPresent(exchange -> exchange.sealed(sealed));
+        }
+
+        @Override
+        public void load(TargetLoad load) {
+            long now = context.timers().now();
+            context.fleet().find(target).ifPresent(known -> known.hear(load, now));
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/SentAttempt.java
@@ -0,0 +1,33 @@
+package org.damaskmoor.relay.internal.entry;
+
+import org.damaskmoor.core.id.TargetId;
+import org.damaskmoor.relay.internal.fleet.FleetTarget;
+
+/** One attempt at a request that is at a target. Confined to the event loop. */
+final class SentAttempt {
+    final int number;
+    final FleetTarget target;
+    final TargetId targetId;
+    final long sentAt;
+    private boolean ended;
+
+    SentAttempt(int number, FleetTarget target, TargetId targetId, long sentAt) {
+        this.number = number;
+        this.target = target;
+        this.targetId = targetId;
+        this.sentAt = sentAt;
+        target.estimate().sent(sentAt);
+    }
+
+    boolean isEnded() {
+        return ended;
+    }
+
+    /** Counts it out at its target; later calls change nothing. */
+    void end() {
+        if (!ended) {
+            ended = true;
+            target.estimate().ended(sentAt);
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/FleetDirectory.java
@@ -0,0 +1,255 @@
+package org.damaskmoor.relay.internal.fleet;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.damaskmoor.core.id.DataCentreName;
+import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.core.id.RegionName;
+import org.damaskmoor.core.id.ServiceName;
+import org.damaskmoor.core.placement.Nearness;
+import org.damaskmoor.core.placement.TargetEstimate;
+import org.damaskmoor.platform.machines.StoredRow;
+import org.damaskmoor.relay.internal.link.CallLink;
+import org.damaskmoor.relay.internal.log.EventLog;
+import org.damaskmoor.relay.internal.time.Timers;
+import org.damaskmoor.schema.link.FleetMember;
+import org.damaskmoor.schema.link.LinkHello;
+
+/**
+ * The nodes of the fleet, as this node knows them from the store and from its peers.
+ *
+ * <p>Confined to the event loop. Invariants: this node itself is always in it; a record from a peer
+ * replaces only an older one; what the store says goes before what peers say.
+ */
+public final class FleetDirectory implements TableWatch.Listener {
+    /** Table of the store in which each node keeps its own record, under its name. */
+    public static final String TABLE = "members";
+
+    private final NodeId self;
+    private final RegionName region;
+    private final DataCentreName dataCentre;
+    private final LinkMaker links;
+    private final Timers timers;
+    private final EventLog log;
+    private final Map<NodeId, FleetTarget> targets = new HashMap<>();
+    private final Map<ServiceName, List<FleetTarget>> byService = new HashMap<>();
+    private final Map<NodeId, Long> storedVersions = new HashMap<>();
+    private boolean snapshotSeen;
+
+    /** Makes the link to a node. */
+    @FunctionalInterface
+    public interface LinkMaker {
+        CallLink link(NodeId node, InetSocketAddress address);
+    }
+
+    public FleetDirectory(
+            NodeId self,
+            RegionName region,
+            DataCentreName dataCentre,
+            LinkMaker links,
+            Timers timers,
+            EventLog log) {
+        this.self = self;
+        this.region = region;
+        this.dataCentre = dataCentre;
+        this.links = links;
+        this.timers = timers;
+        this.log = log;
+    }
+
+    /** Adds this node itself. */
+    public void addSelf(FleetMember member, CallLink link) {
+        TargetEstimate estimate = new TargetEstimate(Nearness.SELF, 1, timers.now());
+        put(new FleetTarget(self, member, estimate, link));
+    }
+
+    /** All nodes, this one included. */
+    public Collection<FleetTarget> all() {
+        return targets.values();
+    }
+
+    /** The nodes whose upstreams run a service. */
+    public List<FleetTarget> targets(ServiceName service) {
+        return byService.getOrDefault(service, List.of());
+    }
+
+    /** A node, if it is known. */
+    public Optional<FleetTarget> find(NodeId node) {
+        return Optional.ofNullable(targets.get(node));
+    }
+
+    /** Whether the store has told its records at least once. */
+    public boolean snapshotSeen() {
+        return snapshotSeen;
+    }
+
+    /** Version of a node's row in the store, or 0 when none is known. */
+    public long storedVersion(NodeId node) {
+        return storedVersions.getOrDefault(node, 0L);
+    }
+
+    @Override
+    public void onSnapshot(List<StoredRow> rows) {
+        snapshotSeen = true;
+        Set<NodeId> stored = new HashSet<>();
+        for (StoredRow row : rows) {
+            onChange(row);
+            stored.add(new NodeId(row.key()));
+        }
+        for (NodeId node : List.copyOf(targets.keySet())) {
+            if (!stored.contains(node) && storedVersions.containsKey(node)) {
+                remove(node);
+            }
+        }
+    }
+
+    @Override
+    public void onChange(StoredRow row) {
+        if (row.key().isEmpty()) {
+            return;
+        }
+        NodeId node = new NodeId(row.key());
+        if (row.removed()) {
+            remove(node);
+            return;
+        }
+        try {
+            FleetMember member = FleetMember.parseFrom(row.value());
+            storedVersions.put(node, row.version());
+            if (member.getNodeId().equals(node.value())) {
+                apply(member);
+            }
+        } catch (InvalidProtocolBufferException unreadable) {
+            log.event("row-unreadable")
+                    .with("key", row.key())
+                    .with("cause", unreadable.getMessage())
+                    .write();
+        }
+    }
+
+    /** Peers told of nodes. */
+    public void merge(Collection<FleetMember> news) {
+        for (FleetMember member : news) {
+            if (member.getNodeId().isEmpty()) {
+                continue;
+            }
+            FleetTarget known = targets.get(new NodeId(member.getNodeId()));
+            if (known == null || isNewer(member, known.member())) {
+                apply(member);
+            }
+        }
+    }
+
+    /**
+     * A node said who it is.
+     *
+     * @return whether it is the one that was expected at that address
+     */
+    public boolean greeted(NodeId expected, LinkHello hello) {
+        if (!hello.getNodeId().equals(expected.value())) {
+            log.event("address-reused")
+                    .with("node", expected)
+                    .with("found", hello.getNodeId())
+                    .write();
+            remove(expected);
+            return false;
+        }
+        find(expected).ifPresent(target -> target.hear(hello.getLoad(), timers.now()));
+        return true;
+    }
+
+    private void apply(FleetMember member) {
+        NodeId node = new NodeId(member.getNodeId());
+        if (node.equals(self)) {
+            return;
+        }
+        if (member.getDeparted()) {
+            remove(node);
+            return;
+        }
+        Optional<InetSocketAddress> address = address(member.getAddress());
+        if (address.isEmpty() || member.getService().isEmpty()) {
+            log.event("member-unusable").with("node", node).write();
+            return;
+        }
+        FleetTarget known = targets.get(node);
+        boolean sameAddress =
+                known != null && known.member().getAddress().equals(member.getAddress());
+        if (sameAddress && known.member().getService().equals(member.getService())) {
+            known.member(member);
+            return;
+        }
+        remove(node);
+        CallLink link = links.link(node, address.get());
+        TargetEstimate estimate =
+                new TargetEstimate(nearness(member), member.getSlots(), timers.now());
+        put(new FleetTarget(node, member, estimate, link));
+        log.event("member-added")
+                .with("node", node)
+                .with("service", member.getService())
+                .with("address", member.getAddress())
+                .with("members", targets.size())
+                .write();
+    }
+
+    private void put(FleetTarget target) {
+        targets.put(target.node(), target);
+        byService
+                .computeIfAbsent(
+                        new ServiceName(target.member().getService()),
+                        service -> new ArrayList<>())
+                .add(target);
+    }
+
+    private void remove(NodeId node) {
+        storedVersions.remove(node);
+        if (node.equals(self)) {
+            return;
+        }
+        FleetTarget removed = targets.remove(node);
+        if (removed != null) {
+            byService.get(new ServiceName(removed.member().getService())).remove(removed);
+            removed.link().close();
+            log.event("member-removed")
+                    .with("node", node)
+                    .with("members", targets.size())
+                    .write();
+        }
+    }
+
+    private Nearness nearness(FleetMember member) {
+        if (!member.getRegion().equals(region.value())) {
+            return Nearness.REMOTE;
+        }
+        boolean sameDataCentre = member.getDataCentre().equals(dataCentre.value());
+        return sameDataCentre ? Nearness.DATA_CENTRE : Nearness.REGION;
+    }
+
+    private static boolean isNewer(FleetMember news, FleetMember known) {
+        if (news.getIncarnation() != known.getIncarnation()) {
+            return news.getIncarnation() > known.getIncarnation();
+        }
+        return news.getRevision() > known.getRevision();
+    }
+
+    private static Optional<InetSocketAddress> address(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0) {
+            return Optional.empty();
+        }
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            return Optional.of(new InetSocketAddress(text.substring(0, colon), port));
+        } catch (IllegalArgumentException unusable) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/OwnRecord.java
@@ -0,0 +1,121 @@
+package org.damaskmoor.relay.internal.fleet;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
+import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.platform.machines.RowStore;
+import org.damaskmoor.platform.machines.StoredRow;
+import org.damaskmoor.relay.internal.log.EventLog;
+import org.damaskmoor.relay.internal.time.Timers;
+import org.damaskmoor.schema.link.FleetMember;
+
+/**
+ * This node's own record in the store: written when the store holds another one, removed when the
+ * node leaves for good.
+ *
+ * <p>Confined to the event loop. Invariant: at most one write is under way; a write is repeated
+ * until the store holds the wanted record.
+ */
+public final class OwnRecord {
+    private static final long PAUSE_MILLISECONDS = 300;
+
+    private final NodeId self;
+    private final RowStore store;
+    private final Timers timers;
+    private final RandomGenerator random;
+    private final EventLog log;
+    private FleetMember wanted = FleetMember.getDefaultInstance();
+    private FleetMember stored = FleetMember.getDefaultInstance();
+    private boolean storedKnown;
+    private boolean writing;
+    private boolean leaving;
+
+    public OwnRecord(
+            NodeId self, RowStore store, Timers timers, RandomGenerator random, EventLog log) {
+        this.self = self;
+        this.store = store;
+        this.timers = timers;
+        this.random = random;
+        this.log = log;
+    }
+
+    /** The store's row of this node, as it was read or has changed. */
+    public void onStored(StoredRow row) {
+        storedKnown = true;
+        try {
+            stored =
+                    row.removed()
+                            ? FleetMember.getDefaultInstance()
+                            : FleetMember.parseFrom(row.value());
+        } catch (InvalidProtocolBufferException unreadable) {
+            log.event("row-unreadable").with("key", row.key()).write();
+            stored = FleetMember.getDefaultInstance();
+        }
+        writeIfNeeded();
+    }
+
+    /** The store holds no row of this node. */
+    public void onNotStored() {
+        storedKnown = true;
+        stored = FleetMember.getDefaultInstance();
+        writeIfNeeded();
+    }
+
+    /** The record that the store is to hold. */
+    public void want(FleetMember member) {
+        wanted = member;
+        writeIfNeeded();
+    }
+
+    /** Removes the record; completes when the store has done so or did not answer. */
+    public CompletableFuture<Void> leave(long version) {
+        leaving = true;
+        if (version == 0) {
+            return CompletableFuture.completedFuture(null);
+        }
+        return store.remove(FleetDirectory.TABLE, self.value(), version)
+                .handle(
+                        (removed, failure) -> {
+                            log.event("record-removed")
+                                    .with("removed", failure == null && removed)
+                                    .write();
+                            return null;
+                        });
+    }
+
+    private void writeIfNeeded() {
+        if (writing || leaving || !storedKnown || wanted.getNodeId().isEmpty() || isStored()) {
+            return;
+        }
+        writing = true;
+        FleetMember written = wanted;
+        store.put(FleetDirectory.TABLE, self.value(), written.toByteString())
+                .whenComplete(
+                        (version, failure) -> {
+                            writing = false;
+                            if (failure == null) {
+                                onWritten(written);
+                            } else {
+                                long pause =
+                                        PAUSE_MILLISECONDS + random.nextLong(PAUSE_MILLISECONDS);
+                                timers.after(pause, this::writeIfNeeded);
+                            }
+                        });
+    }
+
+    private void onWritten(FleetMember written) {
+        stored = written;
+        log.event("record-written").with("node", self).write();
+        writeIfNeeded();
+    }
+
+    /** Whether the store's record says the same, whoever wrote it and when. */
+    private boolean isStored() {
+        return content(stored).equals(content(wanted));
+    }
+
+    private static FleetMember content(FleetMember member) {
+        return member.toBuilder().clearIncarnation().clearRevision().build();
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/TableWatch.java
@@ -0,0 +1,141 @@
+package org.damaskmoor.relay.internal.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletionException;
+import java.util.random.RandomGenerator;
+import org.damaskmoor.platform.machines.HistoryGoneException;
+import org.damaskmoor.platform.machines.RowPage;
+import org.damaskmoor.platform.machines.RowStore;
+import org.damaskmoor.platform.machines.StoredRow;
+import org.damaskmoor.relay.internal.log.EventLog;
+import org.damaskmoor.relay.internal.time.Timers;
+
+/**
+ * Keeps a copy of one table of the store up to date: reads it once, then waits for changes.
+ *
+ * <p>Confined to the event loop. Invariants: changes are told in the order of the store; after the
+ * store has dropped its history the table is read anew.
+ */
+public final class TableWatch {
+    /** Pause after a failure; doubles up to the greatest, with jitter against common returns. */
+    private static final long LEAST_PAUSE_MILLISECONDS = 150;
+
+    private static final long GREATEST_PAUSE_MILLISECONDS = 1200;
+
+    private final String table;
+    private final RowStore store;
+    private final Timers timers;
+    private final RandomGenerator random;
+    private final EventLog log;
+    private final Listener listener;
+    private long pause = LEAST_PAUSE_MILLISECONDS;
+    private boolean lost;
+    private boolean stopped;
+
+    /** Takes what the table holds. */
+    public interface Listener {
+        /** All rows, as of now. */
+        void onSnapshot(List<StoredRow> rows);
+
+        /** One row was changed or removed. */
+        void onChange(StoredRow row);
+    }
+
+    public TableWatch(
+            String table,
+            RowStore store,
+            Timers timers,
+            RandomGenerator random,
+            EventLog log,
+            Listener listener) {
+        this.table = table;
+        this.store = store;
+        this.timers = timers;
+        this.random = random;
+        this.log = log;
+        this.listener = listener;
+    }
+
+    /** Begins to read and to watch. */
+    public void start() {
+        read("", new ArrayList<>());
+    }
+
+    /** Ends. */
+    public void stop() {
+        stopped = true;
+    }
+
+    /** Whether the store did not answer the last time. */
+    public boolean isLost() {
+        return lost;
+    }
+
+    private void read(String fromKey, List<StoredRow> before) {
+        store.read(table, fromKey)
+                .whenComplete(
+                        (page, failure) -> {
+                            if (failure != null) {
+                                onFailure(failure, this::start);
+                            } else {
+                                onRead(page, before);
+                            }
+                        });
+    }
+
+    private void onRead(RowPage page, List<StoredRow> rows) {
+        onHeard();
+        rows.addAll(page.rows());
+        if (page.more() && !page.rows().isEmpty()) {
+            read(rows.get(rows.size() - 1).key() + '\0', rows);
+            return;
+        }
+        listener.onSnapshot(rows);
+        watch(page.version());
+    }
+
+    private void watch(long version) {
+        if (stopped) {
+            return;
+        }
+        store.watch(table, version)
+                .whenComplete(
+                        (page, failure) -> {
+                            if (failure != null) {
+                                onFailure(failure, () -> watch(version));
+                            } else {
+                                onHeard();
+                                page.rows().forEach(listener::onChange);
+                                watch(Math.max(version, page.version()));
+                            }
+                        });
+    }
+
+    private void onFailure(Throwable failure, Runnable next) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        if (stopped) {
+            return;
+        }
+        if (cause instanceof HistoryGoneException) {
+            log.event("history-gone").with("table", table).write();
+            start();
+            return;
+        }
+        if (!lost) {
+            lost = true;
+            log.event("store-lost").with("table", table).with("cause", cause.getMessage()).write();
+        }
+        long jitter = random.nextLong(pause);
+        pause = Math.min(2 * pause, GREATEST_PAUSE_MILLISECONDS);
+        timers.after(pause / 2 + jitter, next);
+    }
+
+    private void onHeard() {
+        pause = LEAST_PAUSE_MILLISECONDS;
+        if (lost) {
+            lost = false;
+            log.event("store-regained").with("table", table).write();
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/CallOutcomes.java
@@ -0,0 +1,25 @@
+package org.damaskmoor.relay.internal.link;
+
+import org.damaskmoor.schema.link.CallSealed;
+import org.damaskmoor.schema.link.ForwardedAnswer;
+import org.damaskmoor.schema.link.ForwardedFailure;
+import org.damaskmoor.schema.link.ForwardedRefusal;
+import org.damaskmoor.schema.link.TargetLoad;
+
+/** What a target tells an entry. Confined to the event loop. */
+public interface CallOutcomes {
+    /** A call was answered. */
+    void answered(ForwardedAnswer answer);
+
+    /** A call did not run and never will. */
+    void refused(ForwardedRefusal refusal);
+
+    /** A call was handed over and got no whole answer. */
+    void failed(ForwardedFailure failure);
+
+    /** A lost call was found. */
+    void sealed(CallSealed sealed);
+
+    /** The load of this instant. */
+    void load(TargetLoad load);
+}
--- /dev/null
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/HelloMaker.java
@@ -0,0 +1,33 @@
+package org.damaskmoor.relay.internal.link;
+
+import java.util.function.LongSupplier;
+import org.damaskmoor.core.id.Incarnation;
+import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.schema.link.LinkFrame;
+import org.damaskmoor.schema.link.LinkHello;
+
+/** Makes the first frame of each link; each has a greater number. Confined to the event loop. */
+final class HelloMaker {
+    private final NodeId self;
+    private final Incarnation incarnation;
+    private final LongSupplier configurationVersion;
+    private long links;
+
+    HelloMaker(NodeId self, Incarnation incarnation, LongSupplier configurationVersion) {
+        this.self = self;
+        this.incarnation = incarnation;
+        this.configurationVersion = configurationVersion;
+    }
+
+    LinkFrame frame() {
+        links++;
+        return LinkFrame.newBuilder()
+                .setHello(
+                        LinkHello.newBuilder()
+                                .setNodeId(self.value())
+                                .setIncarnation(incarnation.value())
+                                .setLinkNumber(links)
+                                .setConfigurationVersion(configurationVersion.getAsLong()))
+                .build();
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/IncomingLink.java
@@ -0,0 +1,148 @@
+package org.damaskmoor.relay.internal.link;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import org.damaskmoor.core.id.Incarnation;
+import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.schema.link.CallSealed;
+import org.damaskmoor.schema.link.ForwardedAnswer;
+import org.damaskmoor.schema.link.ForwardedFailure;
+import org.damaskmoor.schema.link.ForwardedRefusal;
+import org.damaskmoor.schema.link.LinkFrame;
+import org.damaskmoor.schema.link.LinkHello;
+import org.damaskmoor.schema.link.LinkPong;
+import org.damaskmoor.schema.link.TargetLoad;
+
+/**
+ * The target's end of one link. Confined to the event loop.
+ *
+ * <p>Invariants: frames before the hello, and frames after the link was fenced, are not taken.
+ */
+final class IncomingLink extends SimpleChannelInboundHandler<LinkFrame> implements CallOutcomes {
+    private final LinkServer server;
+    private final CallReceiver receiver;
+    private ChannelHandlerContext context;
+    private EntryName entry;
+    private long number;
+    private boolean fenced;
+
+    IncomingLink(LinkServer server, CallReceiver receiver) {
+        this.server = server;
+        this.receiver = receiver;
+    }
+
+    EntryName entry() {
+        return entry;
+    }
+
+    long number() {
+        return number;
+    }
+
+    /** Takes no further frame. */
+    void fence() {
+        fenced = true;
+        close();
+    }
+
+    void close() {
+        if (context != null) {
+            context.close();
+        }
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext active) {
+        context = active;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext active, LinkFrame frame) {
+        if (fenced) {
+            return;
+        }
+        if (frame.hasHello()) {
+            onHello(frame.getHello());
+        } else if (entry == null) {
+            close();
+        } else {
+            onFrame(frame);
+        }
+    }
+
+    private void onHello(LinkHello hello) {
+        if (entry != null || hello.getNodeId().isEmpty() || hello.getIncarnation() == 0) {
+            close();
+            return;
+        }
+        entry =
+                new EntryName(
+                        new NodeId(hello.getNodeId()), new Incarnation(hello.getIncarnation()));
+        number = hello.getLinkNumber();
+        if (server.register(this)) {
+            write(LinkFrame.newBuilder().setHello(receiver.greeting(entry, this)));
+        } else {
+            fence();
+        }
+    }
+
+    private void onFrame(LinkFrame frame) {
+        switch (frame.getBodyCase()) {
+            case CALL -> receiver.call(entry, frame.getCall(), this);
+            case SEAL -> receiver.seal(entry, frame.getSeal(), this);
+            case CANCEL -> receiver.cancel(entry, frame.getCancel());
+            case PING -> write(LinkFrame.newBuilder().setPong(LinkPong.getDefaultInstance()));
+            case FLEET_REQUEST ->
+                    write(
+                            LinkFrame.newBuilder()
+                                    .setFleetNews(receiver.news(frame.getFleetRequest())));
+            case FLEET_NEWS -> receiver.onNews(frame.getFleetNews());
+            default -> {
+                // A frame of a later version.
+            }
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext inactive) {
+        fenced = true;
+        if (entry != null) {
+            server.unregister(this);
+            receiver.ended(entry, this);
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext failed, Throwable cause) {
+        failed.close();
+    }
+
+    @Override
+    public void answered(ForwardedAnswer answer) {
+        write(LinkFrame.newBuilder().setAnswer(answer));
+    }
+
+    @Override
+    public void refused(ForwardedRefusal refusal) {
+        write(LinkFrame.newBuilder().setRefusal(refusal));
+    }
+
+    @Override
+    public void failed(ForwardedFailure failure) {
+        write(LinkFrame.newBuilder().setFailure(failure));
+    }
+
+    @Override
+    public void sealed(CallSealed sealed) {
+        write(LinkFrame.newBuilder().setSealed(sealed));
+    }
+
+    @Override
+    public void load(TargetLoad load) {
+        write(LinkFrame.newBuilder().setLoad(load));
+    }
+
+    private void write(LinkFrame.Builder frame) {
+        context.writeAndFlush(frame.build());
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/LinkDialer.java
@@ -0,0 +1,45 @@
+package org.damaskmoor.relay.internal.link;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.function.LongSupplier;
+import org.damaskmoor.core.id.Incarnation;
+import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.platform.machines.KeepAliveProbes;
+import org.damaskmoor.relay.internal.time.Timers;
+
+/** Makes links to other nodes. Confined to the event loop. */
+public final class LinkDialer {
+    /** Longest time to open a connection; a VM without power does not answer. */
+    private static final int CONNECT_TIMEOUT_MILLISECONDS = 800;
+
+    private final Bootstrap bootstrap;
+    private final HelloMaker hellos;
+    private final Timers timers;
+
+    public LinkDialer(
+            EventLoop loop,
+            Timers timers,
+            NodeId self,
+            Incarnation incarnation,
+            LongSupplier configurationVersion) {
+        this.timers = timers;
+        this.hellos = new HelloMaker(self, incarnation, configurationVersion);
+        this.bootstrap =
+                new Bootstrap()
+                        .group(loop)
+                        .channel(NioSocketChannel.class)
+                        .option(
+                                ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
+                        .option(ChannelOption.TCP_NODELAY, true);
+        KeepAliveProbes.enable(bootstrap);
+    }
+
+    /** A link that is opened when it is first needed. */
+    public CallLink link(NodeId peer, InetSocketAddress address, LinkListener listener) {
+        return new OutgoingLink(peer, address, bootstrap, hellos, timers, listener);
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/net/Listening.java
@@ -0,0 +1,39 @@
+package org.damaskmoor.relay.internal.net;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+
+/** Opens ports. Thread-safe: pure functions. */
+public final class Listening {
+    private Listening() {}
+
+    /**
+     * Opens a port; fails with the address and the cause when it can't be opened.
+     *
+     * @param opened takes the listening channel, on the event loop
+     */
+    public static CompletableFuture<Void> start(
+            ServerBootstrap bootstrap, InetSocketAddress address, Consumer<Channel> opened) {
+        CompletableFuture<Void> started = new CompletableFuture<>();
+        bootstrap
+                .bind(address)
+                .addListener(
+                        (ChannelFuture bound) -> {
+                            if (bound.isSuccess()) {
+                                opened.accept(bound.channel());
+                                started.complete(null);
+                            } else {
+                                started.completeExceptionally(
+                                        new IOException(
+                                                "The address " + address + " can't be opened.",
+                                                bound.cause()));
+                            }
+                        });
+        return started;
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetEvents.java
@@ -0,0 +1,19 @@
+package org.damaskmoor.relay.internal.target;
+
+import java.util.Collection;
+import org.damaskmoor.core.quarantine.RequestFingerprint;
+
+/** What a target tells the rest of its node. Confined to the event loop. */
+public interface TargetEvents {
+    /** The upstream appeared, leaves, went down or came up. */
+    void upstreamChanged();
+
+    /** The upstream crashed while these requests ran. */
+    void crashed(Collection<RequestFingerprint> running);
+
+    /** A request was answered. */
+    void answered(RequestFingerprint request);
+
+    /** Whether a request is known to crash the upstreams that run it. */
+    boolean isQuarantined(RequestFingerprint request);
+}
--- /dev/null
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamRequest.java
@@ -0,0 +1,43 @@
+package org.damaskmoor.relay.internal.target;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.Set;
+import org.damaskmoor.core.upstream.UpstreamId;
+import org.damaskmoor.platform.machines.HeaderNames;
+import org.damaskmoor.schema.link.ForwardedCall;
+import org.damaskmoor.schema.mesh.HeaderField;
+
+/** Makes the request that an upstream gets for a call. Thread-safe: pure functions. */
+final class UpstreamRequest {
+    /** Methods whose requests usually have a body, so that an empty one is told. */
+    private static final Set<String> WITH_BODY = Set.of("POST", "PUT", "PATCH");
+
+    private UpstreamRequest() {}
+
+    static FullHttpRequest of(ForwardedCall call, UpstreamId upstream, long remaining) {
+        FullHttpRequest request =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1,
+                        HttpMethod.valueOf(call.getMethod()),
+                        call.getTarget(),
+                        Unpooled.wrappedBuffer(call.getBody().asReadOnlyByteBuffer()));
+        HttpHeaders headers = request.headers();
+        for (HeaderField field : call.getHeadersList()) {
+            headers.add(field.getName(), field.getValue());
+        }
+        headers.set(HeaderNames.REQUEST_ID, call.getCallerRequestId());
+        headers.set(HeaderNames.REMAINING_MILLISECONDS, Long.toString(remaining));
+        headers.set(HeaderNames.EXPECTED_UPSTREAM, upstream.value());
+        headers.set(HeaderNames.CALLER_SERVICE, call.getCallerService());
+        if (!call.getBody().isEmpty() || WITH_BODY.contains(call.getMethod())) {
+            headers.setInt(HttpHeaderNames.CONTENT_LENGTH, call.getBody().size());
+        }
+        return request;
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/time/LoopTimers.java
@@ -0,0 +1,29 @@
+package org.damaskmoor.relay.internal.time;
+
+import io.netty.channel.EventLoop;
+import java.util.concurrent.TimeUnit;
+
+/** Timers of a Netty event loop. Confined to the event loop. */
+public final class LoopTimers implements Timers {
+    private final EventLoop loop;
+
+    public LoopTimers(EventLoop loop) {
+        this.loop = loop;
+    }
+
+    @Override
+    public long now() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    @Override
+    public Cancellation after(long milliseconds, Runnable task) {
+        var scheduled = loop.schedule(task, Math.max(0, milliseconds), TimeUnit.MILLISECONDS);
+        return () -> scheduled.cancel(false);
+    }
+
+    @Override
+    public void soon(Runnable task) {
+        loop.execute(task);
+    }
+}
