Start work only when the VM is fast; take calls only on links that are meant for this node

Ruled out: the stop of the target (it had not been told to stop). Change 1: a link names the node it is meant for; calls are written only after the target has said who it is. Change 2: the target asks for the speed of the instant before it starts a call, and sends back or holds in slow moments.

--- a/core/src/main/java/org/damaskmoor/core/waiting/WaitingRoom.java
+++ b/core/src/main/java/org/damaskmoor/core/waiting/WaitingRoom.java
@@ -9,7 +9,7 @@
  * shorter than the callers' patience.
  *
  * <pre>{@code
- * Verdict verdict = room.offer(call, slowness, now);
+ * Verdict verdict = room.offer(call, slowness, mayStart, now);
  * // hand over, keep or send back; whenever a call has ended:
  * room.ended(milliseconds);
  * room.hopeless(now).forEach(this::sendBack);
@@ -78,9 +78,10 @@
      * A call asks to run.
      *
      * @param slowness how long work takes on this VM now, 1 is as usual
+     * @param mayStart whether calls may be handed over at this instant
      */
-    public Verdict offer(WaitingCall<T> call, double slowness, long now) {
-        if (running < limit && waiting.isEmpty()) {
+    public Verdict offer(WaitingCall<T> call, double slowness, boolean mayStart, long now) {
+        if (running < limit && waiting.isEmpty() && mayStart) {
             running++;
             return Verdict.START;
         }
@@ -170,13 +171,13 @@
     }
 
     private double expectedWait(WaitingCall<T> coming) {
-        int ahead = 1 + Math.max(0, running - limit);
+        int ahead = 1 + running - limit;
         for (WaitingCall<T> call : waiting) {
             if (call.priority() <= coming.priority()) {
                 ahead++;
             }
         }
-        return ahead * serviceMilliseconds / limit;
+        return Math.max(0, ahead) * serviceMilliseconds / limit;
     }
 
     private boolean makeRoom(WaitingCall<T> coming) {
--- a/relay/src/main/java/org/damaskmoor/relay/RelaySettings.java
+++ b/relay/src/main/java/org/damaskmoor/relay/RelaySettings.java
@@ -28,6 +28,7 @@
  * @param retryRatio further attempts for each request, over all nodes
  * @param retrySlack further attempts beside those, over all nodes and a window
  * @param retryWindowMilliseconds length of that window
+ * @param statusChecksPerSecond most status checks of the upstream in a second
  */
 public record RelaySettings(
         NodeId node,
@@ -46,7 +47,8 @@
         long stopMilliseconds,
         double retryRatio,
         double retrySlack,
-        long retryWindowMilliseconds) {
+        long retryWindowMilliseconds,
+        double statusChecksPerSecond) {
     public RelaySettings {
         seeds = List.copyOf(seeds);
     }
--- a/relay/src/main/java/org/damaskmoor/relay/RelaySettingsReader.java
+++ b/relay/src/main/java/org/damaskmoor/relay/RelaySettingsReader.java
@@ -81,6 +81,8 @@
         Optional<Double> ratio = value("retry-ratio", RelaySettingsReader::notNegative);
         Optional<Double> slack = value("retry-slack", RelaySettingsReader::notNegative);
         Optional<Long> window = value("retry-window", RelaySettingsReader::milliseconds);
+        Optional<Double> checks =
+                value("status-checks-per-second", RelaySettingsReader::notNegative);
         if (!faults.isEmpty()) {
             throw new SettingsException(faults);
         }
@@ -101,7 +103,8 @@
                 stop.get(),
                 ratio.get(),
                 slack.get(),
-                window.get());
+                window.get(),
+                checks.get());
     }
 
     private String text(String name) {
--- a/relay/src/main/java/org/damaskmoor/relay/internal/GracefulStop.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/GracefulStop.java
@@ -15,7 +15,7 @@
     private static final long LEAVE_MILLISECONDS = 2600;
 
     /** Left of the stop timeout for closing. */
-    private static final long MARGIN_MILLISECONDS = 500;
+    private static final long MARGIN_MILLISECONDS = 900;
 
     private static final long LOOK_MILLISECONDS = 50;
 
--- a/relay/src/main/java/org/damaskmoor/relay/internal/NodeTargetEvents.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/NodeTargetEvents.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.damaskmoor.core.quarantine.RequestFingerprint;
 import org.damaskmoor.relay.internal.target.TargetEvents;
 import org.damaskmoor.schema.gossip.QuarantineRecord;
@@ -10,12 +11,17 @@
 /** Leads what the target tells to the parts of its node. Confined to the event loop. */
 final class NodeTargetEvents implements TargetEvents {
     private final Runnable upstreamChanged;
+    private final Supplier<String> statusPath;
     private final CrashBoard crashes;
     private final Consumer<List<QuarantineRecord>> tell;
 
     NodeTargetEvents(
-            Runnable upstreamChanged, CrashBoard crashes, Consumer<List<QuarantineRecord>> tell) {
+            Runnable upstreamChanged,
+            Supplier<String> statusPath,
+            CrashBoard crashes,
+            Consumer<List<QuarantineRecord>> tell) {
         this.upstreamChanged = upstreamChanged;
+        this.statusPath = statusPath;
         this.crashes = crashes;
         this.tell = tell;
     }
@@ -25,6 +31,11 @@
         upstreamChanged.run();
     }
 
+    @Override
+    public String statusPath() {
+        return statusPath.get();
+    }
+
     @Override
     public void crashed(Collection<RequestFingerprint> running) {
         tell.accept(crashes.crashed(running));
--- a/relay/src/main/java/org/damaskmoor/relay/internal/PeerNews.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/PeerNews.java
@@ -4,8 +4,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
-import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.relay.internal.fleet.ConfigurationHolder;
 import org.damaskmoor.relay.internal.fleet.FleetDirectory;
 import org.damaskmoor.relay.internal.fleet.FleetTarget;
@@ -50,13 +50,12 @@
     }
 
     /** Begins to watch whether the store answers. */
-    void start(List<String> seedHosts, int linkPort, FleetDirectory.LinkMaker links) {
+    void start(
+            List<String> seedHosts, int linkPort, Function<InetSocketAddress, CallLink> links) {
         for (String seed : seedHosts) {
             int colon = seed.lastIndexOf(':');
             String host = colon < 0 ? seed : seed.substring(0, colon);
-            seeds.add(
-                    links.link(
-                            new NodeId("seed-" + host), new InetSocketAddress(host, linkPort)));
+            seeds.add(links.apply(new InetSocketAddress(host, linkPort)));
         }
         ask();
     }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
@@ -14,6 +14,7 @@
 import org.damaskmoor.core.placement.UsualWork;
 import org.damaskmoor.core.routes.CallerLimits;
 import org.damaskmoor.core.routes.RouteTable;
+import org.damaskmoor.core.routes.ServiceEntry;
 import org.damaskmoor.core.upstream.UpstreamAnnouncement;
 import org.damaskmoor.core.upstream.UpstreamRegister;
 import org.damaskmoor.platform.machines.CallPaths;
@@ -108,7 +109,12 @@
                         settings.upstream(),
                         timers,
                         log,
-                        new NodeTargetEvents(this::onUpstreamChanged, crashes, this::tellCrashes));
+                        new NodeTargetEvents(
+                                this::onUpstreamChanged,
+                                this::statusPath,
+                                crashes,
+                                this::tellCrashes),
+                        settings.statusChecksPerSecond());
         this.dialer = new LinkDialer(loop, timers, self, incarnation, this::configurationVersion);
         NodeLinkListener linkListener = new NodeLinkListener(this::entry, this::fleet, this::merge);
         this.fleet =
@@ -206,11 +212,7 @@
         peerNews.start(
                 settings.seeds(),
                 settings.links().getPort(),
-                (node, address) ->
-                        dialer.link(
-                                node,
-                                address,
-                                new NodeLinkListener(this::entry, this::fleet, this::merge)));
+                address -> dialer.newsLink(address, new NewsLinkListener(this::merge)));
         timers.after(TICK_MILLISECONDS, this::tick);
         log.event("node-started")
                 .with("node", self)
@@ -333,6 +335,14 @@
         return configuration.table().map(RouteTable::limits).orElse(CallerLimits.UNCONFIGURED);
     }
 
+    private String statusPath() {
+        return target.register()
+                .current()
+                .flatMap(upstream -> configuration.table().flatMap(t -> t.service(upstream.service())))
+                .map(ServiceEntry::healthPath)
+                .orElse("");
+    }
+
     private long configurationVersion() {
         return configuration.version();
     }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
@@ -273,7 +273,8 @@
             tried.add(target.node());
             boolean repeated = atUpstream > 0;
             atUpstream++;
-            target.link().send(frame(attempt, lastChoice, repeated));
+            double slowness = target.estimate().slowness(now());
+            target.link().send(frame(attempt, lastChoice, repeated, slowness));
         }
     }
 
@@ -306,7 +307,8 @@
         return new WorkView(context.usualWork().milliseconds(route.name()), goal);
     }
 
-    private ForwardedCall frame(AttemptId attempt, boolean lastChoice, boolean repeated) {
+    private ForwardedCall frame(
+            AttemptId attempt, boolean lastChoice, boolean repeated, double expectedSlowness) {
         long now = now();
         long goalAt =
                 route.goalMilliseconds() > 0
@@ -329,6 +331,7 @@
                 .setUsualMilliseconds(
                         (int) Math.round(context.usualWork().milliseconds(route.name())))
                 .setLastChoice(lastChoice)
+                .setExpectedSlownessPercent((int) Math.round(expectedSlowness * PERCENT))
                 .setRepeated(repeated)
                 .build();
     }
@@ -347,7 +350,7 @@
                         CallSeal.newBuilder()
                                 .setSequence(id.sequence())
                                 .setAttempt(attempt.attempt())
-                                .setTargetIncarnation(sent.targetId.incarnation().value())
+                                .setTargetIncarnation(sent.target.link().targetIncarnation())
                                 .build());
         context.timers()
                 .after(SEAL_TIMEOUT_MILLISECONDS, () -> perform(call.sealTimeout(attempt)));
--- a/relay/src/main/java/org/damaskmoor/relay/internal/link/HelloMaker.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/HelloMaker.java
@@ -19,7 +19,7 @@
         this.configurationVersion = configurationVersion;
     }
 
-    LinkFrame frame() {
+    LinkFrame frame(String expectedNode) {
         links++;
         return LinkFrame.newBuilder()
                 .setHello(
@@ -27,6 +27,7 @@
                                 .setNodeId(self.value())
                                 .setIncarnation(incarnation.value())
                                 .setLinkNumber(links)
+                                .setExpectedNodeId(expectedNode)
                                 .setConfigurationVersion(configurationVersion.getAsLong()))
                 .build();
     }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/link/IncomingLink.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/IncomingLink.java
@@ -16,7 +16,8 @@
 /**
  * The target's end of one link. Confined to the event loop.
  *
- * <p>Invariants: frames before the hello, and frames after the link was fenced, are not taken.
+ * <p>Invariants: frames before the hello, and frames after the link was fenced, are not taken; nor
+ * are calls that are meant for another node, which had this address before.
  */
 final class IncomingLink extends SimpleChannelInboundHandler<LinkFrame> implements CallOutcomes {
     private final LinkServer server;
@@ -25,6 +26,7 @@
     private EntryName entry;
     private long number;
     private boolean fenced;
+    private boolean callsTaken;
 
     IncomingLink(LinkServer server, CallReceiver receiver) {
         this.server = server;
@@ -79,18 +81,19 @@
                 new EntryName(
                         new NodeId(hello.getNodeId()), new Incarnation(hello.getIncarnation()));
         number = hello.getLinkNumber();
-        if (server.register(this)) {
-            write(LinkFrame.newBuilder().setHello(receiver.greeting(entry, this)));
-        } else {
+        LinkHello greeting = receiver.greeting(entry, this);
+        String expected = hello.getExpectedNodeId();
+        boolean meant = expected.equals(greeting.getNodeId());
+        callsTaken = meant && server.register(this);
+        write(LinkFrame.newBuilder().setHello(greeting));
+        if (!callsTaken && !expected.isEmpty()) {
             fence();
         }
     }
 
     private void onFrame(LinkFrame frame) {
         switch (frame.getBodyCase()) {
-            case CALL -> receiver.call(entry, frame.getCall(), this);
-            case SEAL -> receiver.seal(entry, frame.getSeal(), this);
-            case CANCEL -> receiver.cancel(entry, frame.getCancel());
+            case CALL, SEAL, CANCEL -> onCallFrame(frame);
             case PING -> write(LinkFrame.newBuilder().setPong(LinkPong.getDefaultInstance()));
             case FLEET_REQUEST ->
                     write(
@@ -103,6 +106,18 @@
         }
     }
 
+    private void onCallFrame(LinkFrame frame) {
+        if (!callsTaken) {
+            close();
+        } else if (frame.hasCall()) {
+            receiver.call(entry, frame.getCall(), this);
+        } else if (frame.hasSeal()) {
+            receiver.seal(entry, frame.getSeal(), this);
+        } else {
+            receiver.cancel(entry, frame.getCancel());
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext inactive) {
         fenced = true;
--- a/relay/src/main/java/org/damaskmoor/relay/internal/link/LinkDialer.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/LinkDialer.java
@@ -40,6 +40,14 @@
 
     /** A link that is opened when it is first needed. */
     public CallLink link(NodeId peer, InetSocketAddress address, LinkListener listener) {
-        return new OutgoingLink(peer, address, bootstrap, hellos, timers, listener);
+        return new OutgoingLink(
+                peer, address, bootstrap, () -> hellos.frame(peer.value()), timers, listener);
+    }
+
+    /** A link to whichever node is at an address, which only asks for news. */
+    public CallLink newsLink(InetSocketAddress address, LinkListener listener) {
+        NodeId unknown = new NodeId("at-" + address.getHostString());
+        return new OutgoingLink(
+                unknown, address, bootstrap, () -> hellos.frame(""), timers, listener);
     }
 }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/link/OutgoingLink.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/OutgoingLink.java
@@ -11,6 +11,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.relay.internal.time.Timers;
 import org.damaskmoor.schema.link.CallCancel;
@@ -29,8 +30,8 @@
  * up when none comes: connections can go silent for good while new ones work.
  *
  * <p>Confined to the event loop. Invariants: each connection has a greater number than the one
- * before; calls that were never written are told as unsent, calls that were written on a lost
- * connection as lost.
+ * before; no call is written before the target has said who it is; calls that were never written
+ * are told as unsent, calls that were written on a lost connection as lost.
  */
 final class OutgoingLink implements CallLink {
     /** Silence after which a sign of life is asked for; several round trips between regions. */
@@ -47,13 +48,16 @@
 
     private static final long GREATEST_PAUSE_MILLISECONDS = 4000;
 
+    /** Longest time for the target to say who it is. */
+    private static final long GREETING_TIMEOUT_MILLISECONDS = 800;
+
     /** Calls that wait for a connection. */
     private static final int MOST_WAITING_CALLS = 64;
 
     private final NodeId peer;
     private final InetSocketAddress address;
     private final Bootstrap bootstrap;
-    private final HelloMaker hellos;
+    private final Supplier<LinkFrame> hellos;
     private final Timers timers;
     private final LinkListener listener;
     private final List<LinkFrame> waiting = new ArrayList<>();
@@ -73,7 +77,7 @@
             NodeId peer,
             InetSocketAddress address,
             Bootstrap bootstrap,
-            HelloMaker hellos,
+            Supplier<LinkFrame> hellos,
             Timers timers,
             LinkListener listener) {
         this.peer = peer;
@@ -126,10 +130,14 @@
         pingedAt = 0;
         Channel opened = channel;
         opened.closeFuture().addListener(done -> onClosed(opened));
-        opened.write(hellos.frame());
-        waiting.forEach(this::write);
-        waiting.clear();
-        opened.flush();
+        opened.writeAndFlush(hellos.get());
+        timers.after(
+                GREETING_TIMEOUT_MILLISECONDS,
+                () -> {
+                    if (opened == channel && !greeted) {
+                        opened.close();
+                    }
+                });
     }
 
     private void onClosed(Channel ended) {
@@ -141,6 +149,7 @@
         postpone();
         boolean callsLost = !awaited.isEmpty();
         awaited.clear();
+        refuseWaiting();
         if (callsLost) {
             listener.lost(peer);
         }
@@ -167,13 +176,12 @@
     @Override
     public void send(ForwardedCall call) {
         LinkFrame frame = LinkFrame.newBuilder().setCall(call).build();
-        if (channel == null) {
-            open();
-        }
-        if (channel != null) {
+        open();
+        boolean opening = connecting || channel != null;
+        if (isUp()) {
             write(frame);
             channel.flush();
-        } else if (connecting && waiting.size() < MOST_WAITING_CALLS) {
+        } else if (opening && waiting.size() < MOST_WAITING_CALLS) {
             waiting.add(frame);
         } else {
             timers.soon(() -> listener.unsent(peer, List.of(call)));
@@ -188,14 +196,17 @@
     @Override
     public void send(CallCancel cancel) {
         awaited.remove(cancel.getSequence());
-        if (channel != null) {
+        waiting.removeIf(
+                frame ->
+                        frame.hasCall() && frame.getCall().getSequence() == cancel.getSequence());
+        if (isUp()) {
             channel.writeAndFlush(LinkFrame.newBuilder().setCancel(cancel).build());
         }
     }
 
     @Override
     public void send(FleetNews news) {
-        if (channel != null) {
+        if (isUp()) {
             channel.writeAndFlush(LinkFrame.newBuilder().setFleetNews(news).build());
         }
     }
@@ -212,7 +223,7 @@
 
     private void writeOrWait(LinkFrame frame) {
         open();
-        if (channel != null) {
+        if (isUp()) {
             write(frame);
             channel.flush();
         } else if (waiting.size() < MOST_WAITING_CALLS) {
@@ -303,6 +314,11 @@
         pause = LEAST_PAUSE_MILLISECONDS;
         targetIncarnation = hello.getIncarnation();
         listener.greeted(peer, hello);
+        if (channel != null) {
+            waiting.forEach(this::write);
+            waiting.clear();
+            channel.flush();
+        }
     }
 
     private final class Handler extends SimpleChannelInboundHandler<LinkFrame> {
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetCall.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetCall.java
@@ -19,6 +19,7 @@
     Timers.Cancellation deadlineTimer = () -> {};
     long startedAt;
     double slownessAtStart;
+    int runningAtStart;
 
     TargetCall(RequestId id, ForwardedCall call, CallOutcomes outcomes, long now) {
         this.id = id;
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetDesk.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetDesk.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.damaskmoor.core.id.Incarnation;
@@ -19,8 +20,10 @@
 import org.damaskmoor.core.quarantine.RequestFingerprint;
 import org.damaskmoor.core.upstream.UpstreamAnnouncement;
 import org.damaskmoor.core.upstream.UpstreamId;
+import org.damaskmoor.core.upstream.UpstreamLoad;
 import org.damaskmoor.core.upstream.UpstreamRegister;
 import org.damaskmoor.core.upstream.UpstreamRegister.Change;
+import org.damaskmoor.core.waiting.SlowMoments;
 import org.damaskmoor.core.waiting.Verdict;
 import org.damaskmoor.core.waiting.WaitingRoom;
 import org.damaskmoor.relay.internal.link.CallOutcomes;
@@ -74,13 +77,16 @@
     private final Timers timers;
     private final EventLog log;
     private final TargetEvents events;
+    private final RateBound checks;
     private final WaitingRoom<TargetCall> room = new WaitingRoom<>();
     private final Map<RequestId, TargetCall> open = new HashMap<>();
-    private final SlownessGauge slowness = new SlownessGauge();
+    private final SlowMoments slowness = new SlowMoments();
+    private final List<TargetCall> unsure = new ArrayList<>();
     private final FailureGauge failures = new FailureGauge();
     private final RecentFailures recentFailures = new RecentFailures();
     private boolean looking;
     private boolean probing;
+    private boolean checking;
     private boolean stopping;
     private int shed;
     private long shedAt;
@@ -93,7 +99,9 @@
             InetSocketAddress upstream,
             Timers timers,
             EventLog log,
-            TargetEvents events) {
+            TargetEvents events,
+            double checksPerSecond) {
+        this.checks = new RateBound(checksPerSecond);
         this.incarnation = incarnation;
         this.register = register;
         this.ledger = ledger;
@@ -163,7 +171,7 @@
                                 nanoseconds(now))
                         .result();
         switch (acceptance) {
-            case ACCEPTED -> offer(taken, now);
+            case ACCEPTED -> admit(taken, now);
             case FULL -> tellRefusal(taken, RefusalReason.NODE_BUSY, 0);
             case DEADLINE_PASSED -> tellRefusal(taken, RefusalReason.DEADLINE_PASSED, 0);
             case SEALED_ALREADY -> tellRefusal(taken, RefusalReason.SEALED_AFTER_SILENCE, 0);
@@ -171,14 +179,69 @@
         }
     }
 
-    private void offer(TargetCall call, long now) {
+    private void admit(TargetCall call, long now) {
         open.put(call.id, call);
+        if (slowness.isKnown() && !slowness.isFresh(now) && checkSpeed()) {
+            unsure.add(call);
+        } else {
+            offer(call, now);
+        }
+    }
+
+    /** Asks how fast the VM is at this instant; false when that can't be asked now. */
+    private boolean checkSpeed() {
+        if (checking) {
+            return true;
+        }
+        String path = events.statusPath();
+        long now = timers.now();
+        if (path.isEmpty() || register.isDown() || !checks.tryTake(now)) {
+            return false;
+        }
+        checking = true;
+        pool.check(path, load -> onSpeed(load));
+        return true;
+    }
+
+    private void onSpeed(Optional<UpstreamLoad> load) {
+        checking = false;
+        long now = timers.now();
+        load.ifPresent(told -> hear(told, now));
+        List<TargetCall> waited = List.copyOf(unsure);
+        unsure.clear();
+        for (TargetCall call : waited) {
+            if (open.get(call.id) == call) {
+                offer(call, now);
+            }
+        }
+        startNext();
+    }
+
+    private void hear(UpstreamLoad load, long now) {
+        if (load.slowness() > 0) {
+            slowness.hear(load.slowness(), now);
+        }
+    }
+
+    /** Whether the entry would rather have chosen another target, had it known the speed here. */
+    private boolean isSlowerThanExpected(TargetCall call) {
+        double expected = call.call.getExpectedSlownessPercent() / PERCENT;
+        return expected > 0 && slowness.last() >= SlowMoments.SLOWER_BY * expected;
+    }
+
+    private void offer(TargetCall call, long now) {
         RefusalReason unservable = unservable(call);
         if (unservable != null) {
             refuse(call, unservable, 0);
             return;
         }
-        Verdict verdict = room.offer(call.waiting(), slowness.last(), now);
+        boolean fresh = slowness.isFresh(now);
+        if (fresh && !call.call.getLastChoice() && isSlowerThanExpected(call)) {
+            refuse(call, RefusalReason.QUEUE_FULL, LOOK_MILLISECONDS);
+            return;
+        }
+        boolean mayStart = !(fresh && slowness.isSlow(now));
+        Verdict verdict = room.offer(call.waiting(), slowness.last(), mayStart, now);
         room.takeDisplaced()
                 .forEach(
                         displaced ->
@@ -226,7 +289,8 @@
             return;
         }
         call.startedAt = now;
-        call.slownessAtStart = slowness.last();
+        call.slownessAtStart = slowness.isKnown() ? slowness.last() : 0;
+        call.runningAtStart = room.running();
         UpstreamId upstream = register.current().get().id();
         call.sent =
                 pool.send(
@@ -241,10 +305,10 @@
         long now = timers.now();
         call.deadlineTimer.cancel();
         if (outcome instanceof UpstreamOutcome.Answered answered) {
-            answered.load().ifPresent(load -> slowness.hear(load, now));
+            answered.load().ifPresent(load -> hear(load, now));
             onAnswered(call, answered, now);
         } else if (outcome instanceof UpstreamOutcome.NotRun notRun) {
-            notRun.load().ifPresent(load -> slowness.hear(load, now));
+            notRun.load().ifPresent(load -> hear(load, now));
             onNotRun(call, notRun, now);
         } else if (outcome instanceof UpstreamOutcome.Failed failed) {
             onFailed(call, failed.detail(), now);
@@ -259,6 +323,16 @@
         register.up();
         room.ended((double) took);
         events.answered(call.fingerprint());
+        log.event("call-answered")
+                .with("request", call.call.getCallerRequestId())
+                .with("status", answered.status())
+                .with("waited_ms", call.startedAt - call.arrivedAt)
+                .with("took_ms", took)
+                .with("usual_ms", call.call.getUsualMilliseconds())
+                .with("slowness", Math.round(call.slownessAtStart * PERCENT))
+                .with("slowness_after", Math.round(slowness.last() * PERCENT))
+                .with("running", call.runningAtStart)
+                .write();
         ForwardedAnswer answer =
                 ForwardedAnswer.newBuilder()
                         .setSequence(call.call.getSequence())
@@ -330,7 +404,13 @@
         for (TargetCall hopeless : room.hopeless(now)) {
             refuse(hopeless, RefusalReason.DEADLINE_TOO_SHORT, room.retryAfterMilliseconds());
         }
-        if (!register.isDown()) {
+        if (room.waiting() == 0 || room.running() >= room.limit() || register.isDown()) {
+            return;
+        }
+        if (slowness.isKnown() && !slowness.isFresh(now) && checkSpeed()) {
+            return;
+        }
+        if (!slowness.isSlow(now)) {
             for (TargetCall next = room.next(now); next != null; next = room.next(now)) {
                 handOver(next);
             }
@@ -374,6 +454,7 @@
         TargetCall call = open.get(id);
         if (state == SealState.SEALED && call != null) {
             room.remove(call);
+            unsure.remove(call);
             open.remove(id);
         } else if (call != null) {
             call.outcomes = outcomes;
@@ -429,6 +510,7 @@
     private void stopCall(TargetCall call) {
         if (!call.isRunning()) {
             room.remove(call);
+            unsure.remove(call);
             ledger.refuse(call.id);
             open.remove(call.id);
         } else if (!call.call.getNonIdempotent()) {
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetEvents.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetEvents.java
@@ -8,6 +8,9 @@
     /** The upstream appeared, leaves, went down or came up. */
     void upstreamChanged();
 
+    /** Path of the upstream's status check; empty when there is none. */
+    String statusPath();
+
     /** The upstream crashed while these requests ran. */
     void crashed(Collection<RequestFingerprint> running);
 
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnection.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnection.java
@@ -46,6 +46,7 @@
     private boolean spoiled;
     private HttpResponse head;
     private boolean skipping;
+    private boolean checking;
     private ByteString.Output body;
     private long idleSince;
     private long keptMilliseconds;
@@ -63,6 +64,19 @@
         written = channel.writeAndFlush(request);
     }
 
+    /** Sends a status check; its load comes once, empty when there is none. */
+    void check(FullHttpRequest request, Consumer<Optional<UpstreamLoad>> told) {
+        checking = true;
+        send("", request, outcome -> told.accept(load(outcome)));
+    }
+
+    private static Optional<UpstreamLoad> load(UpstreamOutcome outcome) {
+        if (outcome instanceof UpstreamOutcome.Answered answered) {
+            return answered.load();
+        }
+        return outcome instanceof UpstreamOutcome.NotRun notRun ? notRun.load() : Optional.empty();
+    }
+
     /** Gives the present call up and closes. */
     void abandon() {
         waiting = null;
@@ -121,7 +135,10 @@
         head = response;
         body = ByteString.newOutput();
         boolean interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        boolean own = requestId.equals(response.headers().get(HeaderNames.REQUEST_ID));
+        boolean own =
+                checking
+                        ? response.headers().contains(HeaderNames.UPSTREAM_ID)
+                        : requestId.equals(response.headers().get(HeaderNames.REQUEST_ID));
         boolean refused = isRefusal(response);
         skipping = interim || waiting == null || !(own || refused);
         if (skipping && !interim) {
@@ -191,6 +208,7 @@
     private void end(UpstreamOutcome outcome) {
         Consumer<UpstreamOutcome> told = waiting;
         waiting = null;
+        checking = false;
         if (outcome instanceof UpstreamOutcome.Failed) {
             spoiled = true;
         }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamPool.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamPool.java
@@ -18,6 +18,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.damaskmoor.core.upstream.UpstreamId;
+import org.damaskmoor.core.upstream.UpstreamLoad;
 import org.damaskmoor.relay.internal.time.Timers;
 import org.damaskmoor.schema.link.ForwardedCall;
 
@@ -35,6 +36,9 @@
     private static final int MOST_LINE_BYTES = 16 * 1024;
     private static final int CHUNK_BYTES = 64 * 1024;
 
+    /** Longest wait for a status check, which a call may be waiting for. */
+    private static final long CHECK_TIMEOUT_MILLISECONDS = 30;
+
     /** Idle time after which an upstream may close a connection that told no time of its own. */
     private static final long USUAL_KEPT_MILLISECONDS = 10_000;
 
@@ -93,6 +97,19 @@
         return pending;
     }
 
+    /** Asks the upstream how it is; empty when it does not tell in time. */
+    void check(String path, Consumer<Optional<UpstreamLoad>> told) {
+        StatusCheck check = new StatusCheck(path, told);
+        UpstreamConnection kept = takeIdle(false);
+        if (kept != null) {
+            check.on(kept);
+        } else {
+            bootstrap
+                    .connect(address)
+                    .addListener((ChannelFuture connected) -> check.onConnected(connected));
+        }
+    }
+
     /** Opens a connection only to see whether the upstream takes one. */
     void probe(Consumer<Boolean> reachable) {
         bootstrap
@@ -163,6 +180,44 @@
         return channel.pipeline().get(UpstreamConnection.class);
     }
 
+    private final class StatusCheck {
+        private final String path;
+        private final Consumer<Optional<UpstreamLoad>> told;
+        private boolean ended;
+
+        StatusCheck(String path, Consumer<Optional<UpstreamLoad>> told) {
+            this.path = path;
+            this.told = told;
+        }
+
+        void onConnected(ChannelFuture connected) {
+            if (connected.isSuccess()) {
+                on(connection(connected.channel()));
+            } else {
+                end(Optional.empty());
+            }
+        }
+
+        void on(UpstreamConnection connection) {
+            connection.check(UpstreamRequest.statusCheck(path, address), this::end);
+            timers.after(
+                    CHECK_TIMEOUT_MILLISECONDS,
+                    () -> {
+                        if (!ended) {
+                            connection.abandon();
+                            end(Optional.empty());
+                        }
+                    });
+        }
+
+        private void end(Optional<UpstreamLoad> load) {
+            if (!ended) {
+                ended = true;
+                told.accept(load);
+            }
+        }
+    }
+
     private final class PendingSend implements Sent {
         private final ForwardedCall call;
         private final UpstreamId upstream;
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamRequest.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamRequest.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
 import java.util.Set;
 import org.damaskmoor.core.upstream.UpstreamId;
 import org.damaskmoor.platform.machines.HeaderNames;
@@ -20,6 +21,14 @@
 
     private UpstreamRequest() {}
 
+    static FullHttpRequest statusCheck(String path, InetSocketAddress upstream) {
+        FullHttpRequest request =
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
+        request.headers()
+                .set(HttpHeaderNames.HOST, upstream.getHostString() + ":" + upstream.getPort());
+        return request;
+    }
+
     static FullHttpRequest of(ForwardedCall call, UpstreamId upstream, long remaining) {
         FullHttpRequest request =
                 new DefaultFullHttpRequest(
