Place calls by the worth of their answers; learn how many calls an upstream serves best

At bern an upstream with 8 or 9 of 9 calls takes 1.5 times as long (1128 answers). Change: cost in answers (lateness, bytes by distance, failures); the entry tells how long the target may keep a call before another is better; the target holds or sends back by that; CrowdingCurve finds the number of calls with most answers.

--- a/core/src/main/java/org/damaskmoor/core/placement/LoadSnapshot.java
+++ b/core/src/main/java/org/damaskmoor/core/placement/LoadSnapshot.java
@@ -6,19 +6,19 @@
  * @param running calls that its upstream runs
  * @param waiting calls that wait beside it
  * @param limit calls that its upstream may run at once
- * @param slowness how long work takes there, 1 is as usual
+ * @param slowness how long work takes there at this moment, 1 is as usual; 0 when untold
+ * @param steadySlowness how long work took there at its best lately; 0 when untold
  * @param slownessAgeMilliseconds age of the slowness when it was told
  * @param failureRate part of recent calls that failed
- * @param coldMilliseconds how much longer it is slow after its start
  */
 public record LoadSnapshot(
         int running,
         int waiting,
         int limit,
         double slowness,
+        double steadySlowness,
         long slownessAgeMilliseconds,
-        double failureRate,
-        long coldMilliseconds) {
+        double failureRate) {
 
     /** A target of which nothing is known but its slots. */
     public static LoadSnapshot unknown(int slots) {
--- a/core/src/main/java/org/damaskmoor/core/placement/Nearness.java
+++ b/core/src/main/java/org/damaskmoor/core/placement/Nearness.java
@@ -3,26 +3,25 @@
 /**
  * How far a target stands from the entry node. Immutable and thread-safe.
  *
- * <p>Carrying a call farther costs time, and bytes on links that are paid by volume. The price is
- * told as a part of the goal: a target farther away is taken only when it is expected to answer
- * sooner by more than that.
+ * <p>Carrying a call farther costs time, and bytes on links that are paid by volume. The price of a
+ * kilobyte is told in answers: what a kilobyte costs, divided by what an answer in time is worth.
  */
 public enum Nearness {
     /** The same VM. */
     SELF(0, 0),
     /** The same data centre. */
-    DATA_CENTRE(0.4, 0.005),
+    DATA_CENTRE(0.4, 0),
     /** Another data centre of the region. */
-    REGION(2.2, 0.04),
+    REGION(2.2, 0.02),
     /** Another region, over the paid link. */
-    REMOTE(62, 0.25);
+    REMOTE(62, 0.12);
 
     private final double roundTripMilliseconds;
-    private final double priceInGoals;
+    private final double pricePerKilobyte;
 
-    Nearness(double roundTripMilliseconds, double priceInGoals) {
+    Nearness(double roundTripMilliseconds, double pricePerKilobyte) {
         this.roundTripMilliseconds = roundTripMilliseconds;
-        this.priceInGoals = priceInGoals;
+        this.pricePerKilobyte = pricePerKilobyte;
     }
 
     /** Usual time there and back, in milliseconds. */
@@ -30,8 +29,8 @@
         return roundTripMilliseconds;
     }
 
-    /** What carrying a call there costs, as a part of its goal. */
-    public double priceInGoals() {
-        return priceInGoals;
+    /** What a kilobyte to there and back costs, in answers. */
+    public double pricePerKilobyte() {
+        return pricePerKilobyte;
     }
 }
--- a/core/src/main/java/org/damaskmoor/core/placement/TargetEstimate.java
+++ b/core/src/main/java/org/damaskmoor/core/placement/TargetEstimate.java
@@ -4,40 +4,29 @@
  * What an entry node expects of one target: from its last report, from its age, and from the calls
  * that this node itself has sent there since.
  *
- * <p>Answers load that moves faster than reports: slowness that was told fades towards the usual
- * one within {@link #SLOWNESS_MEMORY_MILLISECONDS}, and calls that are out for long count against
- * the target before any answer comes. Times are in milliseconds of one monotonic clock. Not
- * thread-safe.
+ * <p>Answers load that moves faster than reports: a slow moment that was told is forgotten within
+ * {@link #MOMENT_MEMORY_MILLISECONDS}, and calls that are out for long count against the target
+ * before any answer comes. Times are in milliseconds of one monotonic clock. Not thread-safe.
  */
 public final class TargetEstimate {
-    /** The slowness of a VM is forgotten at this pace; shared VMs change several times a second. */
-    private static final double SLOWNESS_MEMORY_MILLISECONDS = 250;
+    /** A slow moment is forgotten at this pace; shared VMs change several times a second. */
+    private static final double MOMENT_MEMORY_MILLISECONDS = 120;
 
     /** Calls of other entries that a report counted are forgotten at this pace. */
     private static final double OTHERS_MEMORY_MILLISECONDS = 600;
 
-    /** Slowness of a VM of which nothing is known, between an idle and a crowded one. */
-    private static final double UNKNOWN_SLOWNESS = 1.5;
-
-    /** Weight of one report in the usual slowness. */
-    private static final double USUAL_NEWS_WEIGHT = 0.05;
-
     /** Weight of one outcome in the failure rate. */
     private static final double FAILURE_NEWS_WEIGHT = 0.15;
 
     /** A failure rate halves in this time without news, so that a target is tried again. */
     private static final double FAILURE_HALF_LIFE_MILLISECONDS = 2000;
 
-    /** An upstream that has just started is about this much slower. */
-    private static final double COLD_FACTOR = 2;
-
     private final Nearness nearness;
     private LoadSnapshot report;
     private long reportedAt;
     private int ownAtReport;
     private int ownInFlight;
     private long sumOfSent;
-    private double usualSlowness = UNKNOWN_SLOWNESS;
     private double failureRate;
     private long failureAt;
     private long avoidUntil;
@@ -63,9 +52,6 @@
         report = news;
         reportedAt = now;
         ownAtReport = ownInFlight;
-        if (news.slowness() > 0) {
-            usualSlowness += USUAL_NEWS_WEIGHT * (news.slowness() - usualSlowness);
-        }
     }
 
     /** A call was sent there. */
@@ -88,17 +74,12 @@
         failureAt = now;
     }
 
-    /** Leaves it out until the given time: it refused, or can't be reached. */
+    /** Leaves it out until the given time: it can't be reached. */
     public void avoidUntil(long time) {
         avoidUntil = Math.max(avoidUntil, time);
     }
 
-    /** It was heard from, so it can be reached. */
-    public void reachable() {
-        avoidUntil = 0;
-    }
-
-    /** Whether calls may be sent there now. */
+    /** Whether it is left out now. */
     public boolean isAvoided(long now) {
         return now < avoidUntil;
     }
@@ -109,14 +90,16 @@
         return failureRate * Math.pow(0.5, age / FAILURE_HALF_LIFE_MILLISECONDS);
     }
 
-    /** How long work is expected to take there now, 1 is as usual. */
-    public double slowness(long now) {
+    /** How long work takes there when no slow moment adds to it, 1 is as usual. */
+    public double steadySlowness() {
+        return report.steadySlowness() > 0 ? report.steadySlowness() : 1;
+    }
+
+    /** How much longer a slow moment makes work there now; 0 when none is expected. */
+    public double momentarySlowness(long now) {
+        double told = Math.max(0, report.slowness() - steadySlowness());
         double age = now - reportedAt + report.slownessAgeMilliseconds();
-        double told = report.slowness() > 0 ? report.slowness() : usualSlowness;
-        double memory = Math.exp(-age / SLOWNESS_MEMORY_MILLISECONDS);
-        double slowness = usualSlowness + (told - usualSlowness) * memory;
-        boolean cold = now - reportedAt < report.coldMilliseconds();
-        return cold ? slowness * COLD_FACTOR : slowness;
+        return told * Math.exp(-age / MOMENT_MEMORY_MILLISECONDS);
     }
 
     /** Calls expected there now, those of other entries included. */
--- a/core/src/main/java/org/damaskmoor/core/placement/UsualWork.java
+++ b/core/src/main/java/org/damaskmoor/core/placement/UsualWork.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 
 /**
- * What calls of each route usually take on an idle VM, learnt from their answers.
+ * What calls of each route usually take on an idle VM and usually carry, learnt from their answers.
  *
  * <p>Invariant: holds at most {@link #MOST_ROUTES} routes. Not thread-safe.
  */
@@ -13,28 +13,39 @@
     private static final int FIRST_SAMPLES = 8;
     private static final int MOST_ROUTES = 4096;
 
-    private final Map<String, Mean> means = new HashMap<>();
+    /** Size of a call and its answer before any was seen, in kilobytes. */
+    private static final double UNKNOWN_KILOBYTES = 2;
 
-    private static final class Mean {
+    private final Map<String, Means> routes = new HashMap<>();
+
+    private static final class Means {
         private double milliseconds;
+        private double kilobytes;
         private int samples;
     }
 
     /** A call was answered after the given time by an upstream of the given slowness. */
-    public void answered(String route, double milliseconds, double slowness) {
-        if (means.size() >= MOST_ROUTES && !means.containsKey(route)) {
-            means.clear();
+    public void answered(String route, double milliseconds, double slowness, double kilobytes) {
+        if (routes.size() >= MOST_ROUTES && !routes.containsKey(route)) {
+            routes.clear();
         }
-        Mean mean = means.computeIfAbsent(route, unused -> new Mean());
+        Means means = routes.computeIfAbsent(route, unused -> new Means());
+        means.samples++;
+        double weight = Math.max(NEWS_WEIGHT, 1.0 / Math.min(means.samples, FIRST_SAMPLES));
         double usual = milliseconds / Math.max(1, slowness);
-        mean.samples++;
-        double weight = Math.max(NEWS_WEIGHT, 1.0 / Math.min(mean.samples, FIRST_SAMPLES));
-        mean.milliseconds += weight * (usual - mean.milliseconds);
+        means.milliseconds += weight * (usual - means.milliseconds);
+        means.kilobytes += weight * (kilobytes - means.kilobytes);
     }
 
     /** Usual time in milliseconds; 0 when no answer came yet. */
     public double milliseconds(String route) {
-        Mean mean = means.get(route);
-        return mean == null ? 0 : mean.milliseconds;
+        Means means = routes.get(route);
+        return means == null ? 0 : means.milliseconds;
+    }
+
+    /** Usual size of a call and its answer, in kilobytes. */
+    public double kilobytes(String route) {
+        Means means = routes.get(route);
+        return means == null ? UNKNOWN_KILOBYTES : means.kilobytes;
     }
 }
--- a/core/src/main/java/org/damaskmoor/core/waiting/SlowMoments.java
+++ b/core/src/main/java/org/damaskmoor/core/waiting/SlowMoments.java
@@ -24,6 +24,9 @@
     /** A VM that has been slow for longer is slow for good. */
     private static final long LONGEST_MOMENT_MILLISECONDS = 400;
 
+    /** Usual wait for the end of a slow moment. */
+    private static final long USUAL_WAIT_MILLISECONDS = 90;
+
     private record Reading(double slowness, long at) {}
 
     private final ArrayDeque<Reading> readings = new ArrayDeque<>();
@@ -52,6 +55,11 @@
         slow = slower;
     }
 
+    /** How long work took on the VM at its best lately, 1 is as usual. */
+    public double steady() {
+        return readings.isEmpty() ? 1 : readings.peekFirst().slowness();
+    }
+
     /** Whether the VM has ever told its slowness. */
     public boolean isKnown() {
         return told;
@@ -72,6 +80,14 @@
         return told && now - toldAt <= FRESH_MILLISECONDS;
     }
 
+    /** How much later work ends that is started here now, or as soon as that is better. */
+    public double delayMilliseconds(double usualMilliseconds, double expectedSlowness, long now) {
+        if (isSlow(now)) {
+            return Math.min(USUAL_WAIT_MILLISECONDS, usualMilliseconds * (last - steady()));
+        }
+        return usualMilliseconds * Math.max(0, last - Math.max(1, expectedSlowness));
+    }
+
     /** Whether the VM is slow now and is expected to be faster in a moment. */
     public boolean isSlow(long now) {
         return slow && now - slowSince < LONGEST_MOMENT_MILLISECONDS;
--- a/core/src/main/java/org/damaskmoor/core/waiting/WaitingCall.java
+++ b/core/src/main/java/org/damaskmoor/core/waiting/WaitingCall.java
@@ -8,7 +8,8 @@
  * @param goalAt until when its answer has its full worth, in milliseconds of the room's clock
  * @param deadlineAt until when anyone waits for it
  * @param usualMilliseconds what such calls take on an idle VM; 0 when unknown
- * @param lastChoice whether its entry has no better target to try
+ * @param spareMilliseconds how much later it may start here before another target is better
+ * @param lastChoice whether its entry has no other target to try
  */
 public record WaitingCall<T>(
         T handle,
@@ -16,4 +17,5 @@
         long goalAt,
         long deadlineAt,
         double usualMilliseconds,
+        double spareMilliseconds,
         boolean lastChoice) {}
--- a/core/src/main/java/org/damaskmoor/core/waiting/WaitingRoom.java
+++ b/core/src/main/java/org/damaskmoor/core/waiting/WaitingRoom.java
@@ -9,7 +9,7 @@
  * shorter than the callers' patience.
  *
  * <pre>{@code
- * Verdict verdict = room.offer(call, slowness, mayStart, now);
+ * Verdict verdict = room.offer(call, delay, mayStart, now);
  * // hand over, keep or send back; whenever a call has ended:
  * room.ended(milliseconds);
  * room.hopeless(now).forEach(this::sendBack);
@@ -77,16 +77,20 @@
     /**
      * A call asks to run.
      *
-     * @param slowness how long work takes on this VM now, 1 is as usual
+     * @param delayMilliseconds how much longer than usual it would take here, besides its turn
      * @param mayStart whether calls may be handed over at this instant
      */
-    public Verdict offer(WaitingCall<T> call, double slowness, boolean mayStart, long now) {
+    public Verdict offer(
+            WaitingCall<T> call, double delayMilliseconds, boolean mayStart, long now) {
+        double wait = running < limit && waiting.isEmpty() ? 0 : expectedWait(call);
+        if (!call.lastChoice() && wait + delayMilliseconds > call.spareMilliseconds()) {
+            return Verdict.sendBack(retryAfter(wait));
+        }
         if (running < limit && waiting.isEmpty() && mayStart) {
             running++;
             return Verdict.START;
         }
-        double service = Math.max(1, call.usualMilliseconds() * slowness);
-        double wait = expectedWait(call);
+        double service = call.usualMilliseconds() + delayMilliseconds;
         boolean reachesGoal = now + wait + service <= call.goalAt();
         boolean worthWaiting =
                 reachesGoal
--- a/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
@@ -16,6 +16,7 @@
 import org.damaskmoor.core.once.CallStep;
 import org.damaskmoor.core.once.EntryAction;
 import org.damaskmoor.core.once.EntryCall;
+import org.damaskmoor.core.placement.TargetChooser;
 import org.damaskmoor.core.placement.WorkView;
 import org.damaskmoor.core.retry.FleetRetryBudget;
 import org.damaskmoor.core.routes.Route;
@@ -58,6 +59,16 @@
     /** When a caller may come again if no target has told when room is expected. */
     private static final long USUAL_RETRY_AFTER_MILLISECONDS = 250;
 
+    /** Bound on what is told of the spare time; longer than any wait at a target. */
+    private static final double MOST_SPARE_MILLISECONDS = 60_000;
+
+    /** Least time to the goal that placement goes by, once the goal has passed. */
+    private static final double LEAST_GOAL_MILLISECONDS = 50;
+
+    /** Headers of a call and framing of both ways, in bytes. */
+    private static final int USUAL_HEAD_BYTES = 300;
+
+    private static final double BYTES_PER_KILOBYTE = 1000;
     private static final int FIRST_SERVER_ERROR = 500;
     private static final int BAD_GATEWAY = 502;
     private static final int GATEWAY_TIMEOUT = 504;
@@ -136,7 +147,8 @@
                     .answered(
                             route.name(),
                             received.getUpstreamMilliseconds(),
-                            received.getSlownessPercent() / PERCENT);
+                            received.getSlownessPercent() / PERCENT,
+                            kilobytes(received));
         }
         answer = received;
         boolean triedAgain =
@@ -151,6 +163,11 @@
                         : call.answered(attemptId(attempt)));
     }
 
+    private double kilobytes(ForwardedAnswer received) {
+        int bytes = received.getSerializedSize() + request.body().size() + USUAL_HEAD_BYTES;
+        return bytes / BYTES_PER_KILOBYTE;
+    }
+
     void refused(ForwardedRefusal received) {
         SentAttempt attempt = end(received.getAttempt());
         if (attempt == null) {
@@ -255,12 +272,13 @@
             return;
         }
         List<FleetTarget> candidates = candidates();
-        FleetTarget target =
+        TargetChooser.Choice<FleetTarget> choice =
                 context.chooser().choose(candidates, FleetTarget::estimate, work(), now());
-        if (target == null) {
+        if (choice == null) {
             perform(call.noTarget(attempt, RefusalReason.NO_UPSTREAM));
             return;
         }
+        FleetTarget target = choice.target();
         TargetId targetId =
                 new TargetId(
                         target.node(),
@@ -273,8 +291,7 @@
             tried.add(target.node());
             boolean repeated = atUpstream > 0;
             atUpstream++;
-            double slowness = target.estimate().slowness(now());
-            target.link().send(frame(attempt, lastChoice, repeated, slowness));
+            target.link().send(frame(attempt, choice, lastChoice, repeated));
         }
     }
 
@@ -303,13 +320,25 @@
     }
 
     private WorkView work() {
-        double goal = Math.max(0, route.goalMilliseconds() - (now() - request.arrivedAt()));
-        return new WorkView(context.usualWork().milliseconds(route.name()), goal);
+        long goalAt =
+                route.goalMilliseconds() > 0
+                        ? request.arrivedAt() + route.goalMilliseconds()
+                        : limitAt;
+        double goal = Math.max(LEAST_GOAL_MILLISECONDS, (double) (goalAt - now()));
+        return new WorkView(
+                context.usualWork().milliseconds(route.name()),
+                goal,
+                context.usualWork().kilobytes(route.name()));
     }
 
     private ForwardedCall frame(
-            AttemptId attempt, boolean lastChoice, boolean repeated, double expectedSlowness) {
+            AttemptId attempt,
+            TargetChooser.Choice<FleetTarget> choice,
+            boolean lastChoice,
+            boolean repeated) {
         long now = now();
+        double slowness = choice.target().estimate().steadySlowness();
+        double spare = Math.min(MOST_SPARE_MILLISECONDS, choice.spareMilliseconds());
         long goalAt =
                 route.goalMilliseconds() > 0
                         ? request.arrivedAt() + route.goalMilliseconds()
@@ -331,7 +360,8 @@
                 .setUsualMilliseconds(
                         (int) Math.round(context.usualWork().milliseconds(route.name())))
                 .setLastChoice(lastChoice)
-                .setExpectedSlownessPercent((int) Math.round(expectedSlowness * PERCENT))
+                .setExpectedSlownessPercent((int) Math.round(slowness * PERCENT))
+                .setSpareMilliseconds((int) spare)
                 .setRepeated(repeated)
                 .build();
     }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/fleet/FleetTarget.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/FleetTarget.java
@@ -69,9 +69,9 @@
                         load.getWaiting(),
                         load.getLimit(),
                         load.getSlownessPercent() / PERCENT,
+                        load.getSteadySlownessPercent() / PERCENT,
                         load.getSlownessAgeMilliseconds(),
-                        load.getFailuresPerThousand() / PER_THOUSAND,
-                        load.getColdMilliseconds()),
+                        load.getFailuresPerThousand() / PER_THOUSAND),
                 now);
     }
 }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetCall.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetCall.java
@@ -52,6 +52,7 @@
                 arrivedAt + call.getGoalMilliseconds(),
                 deadlineAt,
                 call.getUsualMilliseconds(),
+                call.getSpareMilliseconds(),
                 call.getLastChoice());
     }
 }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetDesk.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetDesk.java
@@ -23,6 +23,7 @@
 import org.damaskmoor.core.upstream.UpstreamLoad;
 import org.damaskmoor.core.upstream.UpstreamRegister;
 import org.damaskmoor.core.upstream.UpstreamRegister.Change;
+import org.damaskmoor.core.waiting.CrowdingCurve;
 import org.damaskmoor.core.waiting.SlowMoments;
 import org.damaskmoor.core.waiting.Verdict;
 import org.damaskmoor.core.waiting.WaitingRoom;
@@ -83,6 +84,7 @@
     private final SlowMoments slowness = new SlowMoments();
     private final List<TargetCall> unsure = new ArrayList<>();
     private final FailureGauge failures = new FailureGauge();
+    private final CrowdingCurve crowding = new CrowdingCurve();
     private final RecentFailures recentFailures = new RecentFailures();
     private boolean looking;
     private boolean probing;
@@ -223,12 +225,6 @@
         }
     }
 
-    /** Whether the entry would rather have chosen another target, had it known the speed here. */
-    private boolean isSlowerThanExpected(TargetCall call) {
-        double expected = call.call.getExpectedSlownessPercent() / PERCENT;
-        return expected > 0 && slowness.last() >= SlowMoments.SLOWER_BY * expected;
-    }
-
     private void offer(TargetCall call, long now) {
         RefusalReason unservable = unservable(call);
         if (unservable != null) {
@@ -236,12 +232,14 @@
             return;
         }
         boolean fresh = slowness.isFresh(now);
-        if (fresh && !call.call.getLastChoice() && isSlowerThanExpected(call)) {
-            refuse(call, RefusalReason.QUEUE_FULL, LOOK_MILLISECONDS);
-            return;
-        }
+        double expected = call.call.getExpectedSlownessPercent() / PERCENT;
+        double delay =
+                fresh
+                        ? slowness.delayMilliseconds(
+                                call.call.getUsualMilliseconds(), expected, now)
+                        : 0;
         boolean mayStart = !(fresh && slowness.isSlow(now));
-        Verdict verdict = room.offer(call.waiting(), slowness.last(), mayStart, now);
+        Verdict verdict = room.offer(call.waiting(), delay, mayStart, now);
         room.takeDisplaced()
                 .forEach(
                         displaced ->
@@ -322,6 +320,10 @@
         failures.add(failed, now);
         register.up();
         room.ended((double) took);
+        if (!failed && call.call.getUsualMilliseconds() > 0 && call.slownessAtStart > 0) {
+            double usual = call.call.getUsualMilliseconds() * call.slownessAtStart;
+            crowding.answered(call.runningAtStart, took / usual);
+        }
         events.answered(call.fingerprint());
         log.event("call-answered")
                 .with("request", call.call.getCallerRequestId())
@@ -439,7 +441,8 @@
             shed--;
             shedAt = now;
         }
-        return Math.max(1, slots - Math.min(shed, slots / 2));
+        int best = crowding.best(slots);
+        return Math.max(1, best - Math.min(shed, slots / 2));
     }
 
     /** A call that was lost on its way is stopped for good, or its outcome follows. */
@@ -532,10 +535,10 @@
                         .setWaiting(room.waiting())
                         .setLimit(room.limit())
                         .setFailuresPerThousand((int) (failures.at(now) * PER_THOUSAND))
-                        .setState(state())
-                        .setColdMilliseconds((int) register.coldMilliseconds(now));
+                        .setState(state());
         if (slowness.isKnown()) {
             load.setSlownessPercent((int) Math.round(slowness.last() * PERCENT))
+                    .setSteadySlownessPercent((int) Math.round(slowness.steady() * PERCENT))
                     .setSlownessAgeMilliseconds(
                             (int) Math.min(Integer.MAX_VALUE, slowness.age(now)));
         }
