Do not try a call again that failed for want of a call of its own

Change: a target tells when a request that began beside its upstream failed meanwhile; only that level tries again.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/NodeTargetEvents.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/NodeTargetEvents.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.damaskmoor.core.quarantine.RequestFingerprint;
 import org.damaskmoor.relay.internal.target.TargetEvents;
@@ -12,16 +13,19 @@
 final class NodeTargetEvents implements TargetEvents {
     private final Runnable upstreamChanged;
     private final Supplier<String> statusPath;
+    private final LongSupplier lastFailure;
     private final CrashBoard crashes;
     private final Consumer<List<QuarantineRecord>> tell;
 
     NodeTargetEvents(
             Runnable upstreamChanged,
             Supplier<String> statusPath,
+            LongSupplier lastFailure,
             CrashBoard crashes,
             Consumer<List<QuarantineRecord>> tell) {
         this.upstreamChanged = upstreamChanged;
         this.statusPath = statusPath;
+        this.lastFailure = lastFailure;
         this.crashes = crashes;
         this.tell = tell;
     }
@@ -31,6 +35,11 @@
         upstreamChanged.run();
     }
 
+    @Override
+    public boolean failedSince(long time) {
+        return lastFailure.getAsLong() >= time;
+    }
+
     @Override
     public String statusPath() {
         return statusPath.get();
--- a/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
@@ -112,6 +112,7 @@
                         new NodeTargetEvents(
                                 this::onUpstreamChanged,
                                 this::statusPath,
+                                () -> entry().lastFailureAt(),
                                 crashes,
                                 this::tellCrashes),
                         settings.statusChecksPerSecond());
--- a/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryDesk.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryDesk.java
@@ -32,6 +32,7 @@
  */
 public final class EntryDesk implements CallerHandler {
     private static final int NOT_FOUND = 404;
+    private static final int FIRST_SERVER_ERROR = 500;
 
     /** When a caller may come again to a node that has no configuration yet. */
     private static final long UNCONFIGURED_RETRY_AFTER_MILLISECONDS = 500;
@@ -51,6 +52,7 @@
     private RouteTable routes;
     private boolean closed;
     private long sequence;
+    private long lastFailureAt = Long.MIN_VALUE;
 
     public EntryDesk(
             NodeId self, Incarnation incarnation, EntryContext context, CrashedRequests crashed) {
@@ -72,6 +74,11 @@
         closed = true;
     }
 
+    /** When a request failed here last, in milliseconds of the monotonic clock. */
+    public long lastFailureAt() {
+        return lastFailureAt;
+    }
+
     /** Requests that are served now. */
     public int openRequests() {
         return exchanges.size();
@@ -117,7 +124,12 @@
                         route,
                         next(route),
                         context,
-                        reply,
+                        answer -> {
+                            if (answer.status() >= FIRST_SERVER_ERROR) {
+                                lastFailureAt = context.timers().now();
+                            }
+                            reply.accept(answer);
+                        },
                         ended -> exchanges.remove(ended.id().sequence()));
         exchanges.put(sequence, exchange);
         exchange.start();
--- a/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
@@ -154,6 +154,7 @@
         boolean triedAgain =
                 failed
                         && received.getStatus() != GATEWAY_TIMEOUT
+                        && !received.getFailedBelow()
                         && route.idempotent()
                         && mayReachAnother();
         needsBudget = triedAgain;
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetDesk.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetDesk.java
@@ -344,6 +344,7 @@
                         .setBody(answered.body())
                         .setUpstreamMilliseconds((int) took)
                         .setSlownessPercent((int) Math.round(call.slownessAtStart * PERCENT))
+                        .setFailedBelow(failed && events.failedSince(call.startedAt))
                         .setLoad(load())
                         .build();
         boolean kept = call.call.getNonIdempotent();
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetEvents.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetEvents.java
@@ -8,6 +8,9 @@
     /** The upstream appeared, leaves, went down or came up. */
     void upstreamChanged();
 
+    /** Whether a request that began on this VM has failed since then. */
+    boolean failedSince(long time);
+
     /** Path of the upstream's status check; empty when there is none. */
     String statusPath();
 
