--- a/core/src/main/java/org/damaskmoor/core/placement/TargetChooser.java
+++ b/core/src/main/java/org/damaskmoor/core/placement/TargetChooser.java
@@ -14,8 +14,8 @@
  * times in milliseconds. Not thread-safe.
  */
 public final class TargetChooser {
-    /** Spreads choices between targets that are about equally good, in answers. */
-    private static final double SPREAD = 0.01;
+    /** Spreads choices between targets that are about equally good, in milliseconds. */
+    private static final double SPREAD_MILLISECONDS = 1;
 
     /** Work time of a route of which nothing is known, in milliseconds. */
     private static final double UNKNOWN_WORK_MILLISECONDS = 100;
@@ -69,8 +69,8 @@
         double least = Double.MAX_VALUE;
         double second = Double.MAX_VALUE;
         for (T candidate : candidates) {
-            double cost = cost(estimateOf.apply(candidate), work, 0, now);
-            double spread = cost + SPREAD * random.nextDouble();
+            double delay = SPREAD_MILLISECONDS * random.nextDouble();
+            double spread = cost(estimateOf.apply(candidate), work, delay, now);
             if (spread < least) {
                 best = candidate;
                 second = least;
--- /dev/null
+++ b/core/src/test/java/org/damaskmoor/core/routes/RouteTableTest.java
@@ -0,0 +1,113 @@
+package org.damaskmoor.core.routes;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.damaskmoor.core.id.ServiceName;
+import org.junit.jupiter.api.Test;
+
+class RouteTableTest {
+    private static final ServiceName BOOKS = new ServiceName("books");
+
+    @Test
+    void should_take_the_longest_prefix_that_begins_the_path() {
+        // given
+        RouteTable table = table(route("short", "/a/"), route("long", "/a/b/"));
+
+        // when, then
+        assertThat(table.match("shop.example", "/a/b/c").get().name()).isEqualTo("long");
+        assertThat(table.match("shop.example", "/a/bc").get().name()).isEqualTo("short");
+        assertThat(table.match("shop.example", "/a/b/").get().name()).isEqualTo("long");
+        assertThat(table.match("shop.example", "/a")).isEmpty();
+    }
+
+    @Test
+    void should_match_a_host_with_a_port_and_in_any_case() {
+        // given
+        RouteTable table = table(route("only", "/"));
+
+        // when, then
+        assertThat(table.match("Shop.Example:8080", "/x")).isPresent();
+        assertThat(table.match("other.example", "/x")).isEmpty();
+    }
+
+    @Test
+    void should_reject_a_route_to_a_service_that_is_not_configured() {
+        // when, then
+        assertThrows(
+                IllegalArgumentException.class,
+                () ->
+                        new RouteTable(
+                                1,
+                                List.of(route("lost", "/")),
+                                List.of(),
+                                CallerLimits.UNCONFIGURED));
+    }
+
+    @Test
+    void should_reject_two_routes_with_the_same_prefix() {
+        // when, then
+        assertThrows(
+                IllegalArgumentException.class, () -> table(route("one", "/"), route("two", "/")));
+    }
+
+    @Test
+    void should_reject_a_prefix_that_does_not_end_with_a_slash() {
+        // when, then
+        assertThrows(IllegalArgumentException.class, () -> route("bare", "/a"));
+    }
+
+    @Test
+    void should_divide_requests_close_to_the_weights_in_every_run() {
+        // given
+        ServiceName rare = new ServiceName("rare");
+        WeightedTurns turns =
+                new WeightedTurns(List.of(new RoutePart(BOOKS, 90), new RoutePart(rare, 10)), 7);
+
+        // when
+        Map<ServiceName, Integer> counts = new HashMap<>();
+        for (int i = 0; i < 200; i++) {
+            counts.merge(turns.next(), 1, Integer::sum);
+        }
+
+        // then
+        assertThat(counts.get(rare)).isIn(List.of(19, 20, 21));
+    }
+
+    @Test
+    void should_never_take_a_part_without_weight() {
+        // given
+        ServiceName none = new ServiceName("none");
+        WeightedTurns turns =
+                new WeightedTurns(List.of(new RoutePart(none, 0), new RoutePart(BOOKS, 3)), 1);
+
+        // when, then
+        for (int i = 0; i < 20; i++) {
+            assertThat(turns.next()).isEqualTo(BOOKS);
+        }
+    }
+
+    private static RouteTable table(Route... routes) {
+        return new RouteTable(
+                1,
+                List.of(routes),
+                List.of(new ServiceEntry(BOOKS, "/healthz", 10)),
+                CallerLimits.UNCONFIGURED);
+    }
+
+    private static Route route(String name, String prefix) {
+        return new Route(
+                name,
+                "shop.example",
+                prefix,
+                true,
+                1000,
+                500,
+                0,
+                List.of(new RoutePart(BOOKS, 1)),
+                2);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/damaskmoor/core/waiting/WaitingRoomTest.java
@@ -0,0 +1,173 @@
+package org.damaskmoor.core.waiting;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.damaskmoor.core.waiting.Verdict.Kind;
+import org.junit.jupiter.api.Test;
+
+class WaitingRoomTest {
+    private static final double MUCH = 60_000;
+
+    private final WaitingRoom<String> room = new WaitingRoom<>();
+
+    @Test
+    void should_start_calls_up_to_the_limit_and_let_the_next_one_wait() {
+        // given
+        room.limit(2);
+
+        // when, then
+        assertThat(offer("a", 1, 5000)).isEqualTo(Kind.START);
+        assertThat(offer("b", 1, 5000)).isEqualTo(Kind.START);
+        assertThat(offer("c", 1, 5000)).isEqualTo(Kind.WAIT);
+        assertThat(room.running()).isEqualTo(2);
+    }
+
+    @Test
+    void should_send_a_call_back_when_another_target_is_better_by_more_than_the_wait() {
+        // given
+        offer("a", 1, 5000);
+
+        // when
+        Verdict verdict =
+                room.offer(new WaitingCall<>("b", 1, 5000, 9000, 100, 20, false), 0, true, 0);
+
+        // then
+        assertThat(verdict.kind()).isEqualTo(Kind.SEND_BACK);
+        assertThat(verdict.retryAfterMilliseconds()).isGreaterThan(0L);
+    }
+
+    @Test
+    void should_keep_a_last_choice_although_another_target_would_have_been_better() {
+        // given
+        offer("a", 1, 5000);
+
+        // when
+        Verdict verdict =
+                room.offer(new WaitingCall<>("b", 1, 5000, 9000, 100, 0, true), 0, true, 0);
+
+        // then
+        assertThat(verdict.kind()).isEqualTo(Kind.WAIT);
+    }
+
+    @Test
+    void should_refuse_at_once_what_can_not_be_served_in_time() {
+        // given
+        offer("a", 1, 5000);
+
+        // when
+        Verdict verdict =
+                room.offer(new WaitingCall<>("b", 1, 120, 150, 100, 0, true), 0, true, 0);
+
+        // then
+        assertThat(verdict.kind()).isEqualTo(Kind.SEND_BACK);
+    }
+
+    @Test
+    void should_not_start_a_call_in_a_slow_moment() {
+        // when, then
+        assertThat(
+                        room.offer(
+                                        new WaitingCall<>("a", 1, 5000, 9000, 100, MUCH, false),
+                                        90,
+                                        false,
+                                        0)
+                                .kind())
+                .isEqualTo(Kind.WAIT);
+        assertThat(room.next(50)).isEqualTo("a");
+    }
+
+    @Test
+    void should_let_the_most_urgent_go_first() {
+        // given
+        offer("running", 1, 5000);
+        offer("later", 2, 1000);
+        offer("urgent", 0, 5000);
+
+        // when
+        room.ended(100);
+
+        // then
+        assertThat(room.next(10)).isEqualTo("urgent");
+    }
+
+    @Test
+    void should_let_calls_that_reach_their_goal_go_before_those_that_miss_it() {
+        // given
+        offer("running", 1, 5000);
+        offer("missing", 1, 250);
+        offer("reaching", 1, 1000);
+
+        // when
+        room.ended(100);
+
+        // then
+        assertThat(room.next(200)).isEqualTo("reaching");
+    }
+
+    @Test
+    void should_let_a_short_call_go_before_long_ones_even_when_it_is_late() {
+        // given
+        offer("running", 1, 5000);
+        offer("long", 1, 1000);
+        room.offer(new WaitingCall<>("short", 1, 20, 9000, 10, MUCH, true), 0, true, 0);
+
+        // when
+        room.ended(100);
+
+        // then
+        assertThat(room.next(200)).isEqualTo("short");
+    }
+
+    @Test
+    void should_displace_the_least_urgent_when_the_room_is_full() {
+        // given
+        offer("running", 1, 50_000);
+        for (int i = 0; i < 4; i++) {
+            assertThat(offer("low" + i, 2, 50_000 + i)).isEqualTo(Kind.WAIT);
+        }
+
+        // when
+        Kind urgent = offer("urgent", 0, 50_000);
+
+        // then
+        assertThat(urgent).isEqualTo(Kind.WAIT);
+        assertThat(room.takeDisplaced()).containsExactly("low3");
+        assertThat(room.takeDisplaced()).isEmpty();
+    }
+
+    @Test
+    void should_take_out_what_can_no_longer_end_before_its_deadline() {
+        // given
+        offer("running", 1, 5000);
+        room.offer(new WaitingCall<>("soon", 1, 5000, 600, 100, MUCH, true), 0, true, 0);
+
+        // when, then
+        assertThat(room.hopeless(400)).isEmpty();
+        assertThat(room.hopeless(560)).containsExactly("soon");
+        assertThat(room.waiting()).isEqualTo(0);
+    }
+
+    @Test
+    void should_forget_a_call_that_was_taken_out() {
+        // given
+        offer("running", 1, 5000);
+        offer("gone", 1, 5000);
+
+        // when
+        boolean removed = room.remove("gone");
+        room.ended(100);
+
+        // then
+        assertThat(removed).isTrue();
+        assertThat(room.next(10)).isNull();
+    }
+
+    private Kind offer(String name, int priority, long goalAt) {
+        return room.offer(
+                        new WaitingCall<>(name, priority, goalAt, 90_000, 100, MUCH, true),
+                        0,
+                        true,
+                        0)
+                .kind();
+    }
+}
--- a/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
@@ -65,6 +65,9 @@
     private static final int LEDGER_FENCES = 1024;
     private static final long TICK_MILLISECONDS = 1000;
 
+    /** Time for the last replies to be written before connections are closed. */
+    private static final long LAST_REPLIES_MILLISECONDS = 50;
+
     private final RelaySettings settings;
     private final Timers timers;
     private final EventLog log;
@@ -241,9 +244,18 @@
         return stop.run(
                         entry::refuseNew,
                         () -> left.isDone() && callers.isIdle() && target.isIdle())
+                .thenRun(entry::endAll)
+                .thenCompose(done -> laterReplies())
                 .thenRun(this::close);
     }
 
+    /** Completes when the replies that were just given have been written. */
+    private CompletableFuture<Void> laterReplies() {
+        CompletableFuture<Void> written = new CompletableFuture<>();
+        timers.after(LAST_REPLIES_MILLISECONDS, () -> written.complete(null));
+        return written;
+    }
+
     private void close() {
         memberWatch.stop();
         configurationWatch.stop();
--- a/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryDesk.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryDesk.java
@@ -74,6 +74,11 @@
         closed = true;
     }
 
+    /** Answers what is still open as far as it is known: this node ends now. */
+    public void endAll() {
+        List.copyOf(exchanges.values()).forEach(EntryExchange::end);
+    }
+
     /** When a request failed here last, or its caller left, in milliseconds of the monotonic clock. */
     public long lastFailureAt() {
         return lastFailureAt;
--- a/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
@@ -237,6 +237,11 @@
         }
     }
 
+    /** Tells the caller what is known now. */
+    void end() {
+        perform(call.deadline());
+    }
+
     void callerGone() {
         context.metrics().count("caller-gone");
         perform(call.callerGone());
--- a/relay/src/main/java/org/damaskmoor/relay/internal/fleet/TableWatch.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/TableWatch.java
@@ -15,7 +15,8 @@
  * Keeps a copy of one table of the store up to date: reads it once, then waits for changes.
  *
  * <p>Confined to the event loop. Invariants: changes are told in the order of the store; after the
- * store has dropped its history the table is read anew.
+ * store has dropped its history, or was lost, the table is read anew, so that it is known at once
+ * whether the store answers.
  */
 public final class TableWatch {
     /** Pause after a failure; doubles up to the greatest, with jitter against common returns. */
@@ -103,7 +104,7 @@
                 .whenComplete(
                         (page, failure) -> {
                             if (failure != null) {
-                                onFailure(failure, () -> watch(version));
+                                onFailure(failure, this::start);
                             } else {
                                 onHeard();
                                 page.rows().forEach(listener::onChange);
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetDesk.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetDesk.java
@@ -128,6 +128,9 @@
                     .write();
             events.upstreamChanged();
         }
+        if (change == Change.APPEARED) {
+            checkSpeed();
+        }
     }
 
     /** The upstream said that it goes. */
--- /dev/null
+++ b/relay/src/test/java/org/damaskmoor/relay/CallerSideTest.java
@@ -0,0 +1,146 @@
+package org.damaskmoor.relay;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.damaskmoor.relay.fixture.Fleet;
+import org.damaskmoor.relay.fixture.RawCaller;
+import org.damaskmoor.relay.fixture.RelayUnderTest;
+import org.damaskmoor.relay.fixture.UpstreamStandIn;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What callers may send, and what they get for it. */
+class CallerSideTest {
+    private Fleet fleet;
+    private UpstreamStandIn upstream;
+    private RelayUnderTest relay;
+
+    @BeforeEach
+    void start() throws Exception {
+        fleet = new Fleet();
+        upstream = new UpstreamStandIn();
+        relay = fleet.relay("one", upstream);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        relay.close();
+        upstream.close();
+        fleet.close();
+    }
+
+    @Test
+    void should_serve_requests_that_were_sent_together_in_their_order() throws Exception {
+        // given
+        upstream.script(
+                (request, connection) -> {
+                    Thread.sleep(request.id().equals("r1") ? 100 : 0);
+                    UpstreamStandIn.ok(request, connection);
+                });
+
+        // when
+        try (RawCaller caller = relay.caller()) {
+            caller.send(RawCaller.get("/read/1", "r1") + RawCaller.get("/read/2", "r2"));
+
+            // then
+            assertThat(caller.read().body()).isEqualTo("answer to r1");
+            assertThat(caller.read().body()).isEqualTo("answer to r2");
+        }
+    }
+
+    @Test
+    void should_pass_a_chunked_body_on_whole() throws Exception {
+        // when
+        try (RawCaller caller = relay.caller()) {
+            RawCaller.Answer answer =
+                    caller.ask(
+                            "POST /order/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: r1\r\n"
+                                    + "Transfer-Encoding: chunked\r\n\r\n"
+                                    + "4\r\nhalf\r\n5\r\n more\r\n0\r\n\r\n");
+
+            // then
+            assertThat(answer.status()).isEqualTo(200);
+            assertThat(upstream.requests().get(0).body()).isEqualTo("half more");
+        }
+    }
+
+    @Test
+    void should_ask_for_the_body_of_a_caller_that_waits_to_be_asked() throws Exception {
+        // when
+        try (RawCaller caller = relay.caller()) {
+            RawCaller.Answer interim =
+                    caller.ask(
+                            "POST /order/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: r1\r\n"
+                                    + "Expect: 100-continue\r\nContent-Length: 4\r\n\r\n");
+            RawCaller.Answer answer = caller.ask("body");
+
+            // then
+            assertThat(interim.status()).isEqualTo(100);
+            assertThat(answer.status()).isEqualTo(200);
+            assertThat(upstream.requests().get(0).body()).isEqualTo("body");
+        }
+    }
+
+    @Test
+    void should_never_pass_on_what_a_caller_says_of_its_own_service() throws Exception {
+        // when
+        try (RawCaller caller = relay.caller()) {
+            caller.ask(
+                    "GET /read/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: r1\r\n"
+                            + "Caller-Service: forged\r\nExpect-Instance: forged\r\n"
+                            + "Connection: X-Hop\r\nX-Hop: 1\r\nX-End: 2\r\n\r\n");
+        }
+
+        // then
+        UpstreamStandIn.Request request = upstream.requests().get(0);
+        assertThat(request.headers().get("caller-service")).isEqualTo("books");
+        assertThat(request.headers().get("expect-instance")).isEqualTo("i-1");
+        assertThat(request.headers()).doesNotContainKey("x-hop");
+        assertThat(request.headers().get("x-end")).isEqualTo("2");
+    }
+
+    @Test
+    void should_refuse_what_can_not_be_read_and_close() throws Exception {
+        assertRefused("GET / HTTP/1.1\r\nHost shop\r\n\r\n", 400);
+        assertRefused("GET /read/1 HTTP/1.1\r\nX: " + "x".repeat(5000) + "\r\n\r\n", 431);
+        assertRefused(
+                "POST /order/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: r\r\n"
+                        + "Content-Length: 100001\r\n\r\n",
+                413);
+        assertRefused(
+                "POST /order/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: r\r\n"
+                        + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+                400);
+        assertThat(upstream.requests()).isEmpty();
+    }
+
+    @Test
+    void should_answer_404_where_no_route_leads() throws Exception {
+        // when
+        try (RawCaller caller = relay.caller()) {
+            // then
+            assertThat(caller.ask(RawCaller.get("/nowhere/1", "r1")).status()).isEqualTo(404);
+            assertThat(caller.ask(RawCaller.get("/read/1", "r2")).status()).isEqualTo(200);
+        }
+    }
+
+    @Test
+    void should_find_a_request_in_the_log_by_its_id() throws Exception {
+        // when
+        try (RawCaller caller = relay.caller()) {
+            caller.ask(RawCaller.get("/read/1", "to-be-found"));
+        }
+
+        // then
+        Fleet.await(() -> relay.log().contains("event=request-ended request=to-be-found"));
+        Fleet.await(() -> relay.log().contains("event=call-answered request=to-be-found"));
+    }
+
+    private void assertRefused(String request, int status) throws Exception {
+        try (RawCaller caller = relay.caller()) {
+            assertThat(caller.ask(request).status()).isEqualTo(status);
+            assertThat(caller.isClosed()).isTrue();
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/test/java/org/damaskmoor/relay/FleetTest.java
@@ -0,0 +1,325 @@
+package org.damaskmoor.relay;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.damaskmoor.relay.fixture.Fleet;
+import org.damaskmoor.relay.fixture.RawCaller;
+import org.damaskmoor.relay.fixture.RelayUnderTest;
+import org.damaskmoor.relay.fixture.StoreStandIn;
+import org.damaskmoor.relay.fixture.UpstreamStandIn;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Several relays with one store, while something fails. */
+class FleetTest {
+    private Fleet fleet;
+    private UpstreamStandIn upstream;
+    private UpstreamStandIn unused;
+    private RelayUnderTest target;
+    private RelayUnderTest entry;
+
+    @BeforeEach
+    void start() throws Exception {
+        fleet = new Fleet();
+        upstream = new UpstreamStandIn();
+        unused = new UpstreamStandIn();
+        target = fleet.relay("target", upstream);
+        entry = new RelayUnderTest("entry", "other", unused.address(), fleet.store.address());
+        Fleet.await(entry::isReady);
+        Fleet.await(() -> entry.log().contains("event=member-added node=target"));
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        entry.close();
+        target.close();
+        upstream.close();
+        unused.close();
+        fleet.close();
+    }
+
+    @Test
+    void should_carry_a_request_to_the_node_beside_its_upstream() throws Exception {
+        // when
+        RawCaller.Answer answer = ask(RawCaller.post("/order/1", "r1", "body"));
+
+        // then
+        assertThat(answer.body()).isEqualTo("answer to r1");
+        assertThat(upstream.requests().get(0).headers().get("caller-service")).isEqualTo("other");
+    }
+
+    @Test
+    void should_put_a_newer_configuration_in_force_and_never_an_older_one() throws Exception {
+        // given
+        String more = "," + Fleet.route("more", "/more/", "idempotent");
+        assertThat(ask(RawCaller.get("/more/1", "r1")).status()).isEqualTo(404);
+
+        // when
+        fleet.store.configure(Fleet.configuration(7, more));
+        Fleet.await(() -> ask(RawCaller.get("/more/1", "r2")).status() == 200);
+        fleet.store.configure(Fleet.configuration(3, ""));
+        Fleet.await(() -> entry.log().contains("event=configuration-older"));
+
+        // then
+        assertThat(ask(RawCaller.get("/more/1", "r3")).status()).isEqualTo(200);
+    }
+
+    @Test
+    void should_keep_the_configuration_when_a_newer_one_is_invalid() throws Exception {
+        // when
+        fleet.store.configure(Fleet.configuration(9, ",{\"name\":\"broken\"}"));
+        Fleet.await(() -> entry.log().contains("event=configuration-rejected"));
+
+        // then
+        assertThat(ask(RawCaller.get("/read/1", "r1")).status()).isEqualTo(200);
+    }
+
+    @Test
+    void should_follow_the_configuration_after_the_store_forgot_its_history() throws Exception {
+        // given
+        fleet.store.compact();
+
+        // when
+        String more = "," + Fleet.route("more", "/more/", "idempotent");
+        fleet.store.configure(Fleet.configuration(7, more));
+
+        // then
+        Fleet.await(() -> ask(RawCaller.get("/more/1", "r2")).status() == 200);
+    }
+
+    @Test
+    void should_learn_fleet_and_configuration_from_a_seed_when_the_store_turns_a_node_away()
+            throws Exception {
+        // given a node for which the store is away from the start
+        try (StoreStandIn away = new StoreStandIn()) {
+            away.mode(StoreStandIn.Mode.UNAVAILABLE);
+            InetSocketAddress links =
+                    new InetSocketAddress("127.0.0.3", target.links().getPort());
+            List<String> seeds = List.of(target.links().getHostString() + ":1");
+
+            // when
+            try (RelayUnderTest alone =
+                    new RelayUnderTest(
+                            "alone", "other", unused.address(), away.address(), links, seeds)) {
+                Fleet.await(alone::isReady);
+                Fleet.await(() -> alone.log().contains("event=member-added node=target"));
+
+                // then
+                try (RawCaller caller = alone.caller()) {
+                    RawCaller.Answer answer = caller.ask(RawCaller.get("/read/1", "r1"));
+                    assertThat(answer.status()).isEqualTo(200);
+                }
+            }
+        }
+    }
+
+    @Test
+    void should_say_at_once_when_the_store_is_back() throws Exception {
+        // given
+        fleet.store.mode(StoreStandIn.Mode.UNAVAILABLE);
+        Fleet.await(() -> entry.log().contains("event=store-lost"));
+
+        // when
+        fleet.store.mode(StoreStandIn.Mode.NORMAL);
+
+        // then
+        Fleet.await(() -> entry.log().contains("event=store-regained"));
+    }
+
+    @Test
+    void should_serve_on_while_the_store_is_away() throws Exception {
+        // given
+        ask(RawCaller.get("/read/1", "r0"));
+
+        // when
+        fleet.store.mode(StoreStandIn.Mode.UNAVAILABLE);
+        Fleet.await(() -> entry.log().contains("event=store-lost"));
+
+        // then
+        assertThat(ask(RawCaller.get("/read/1", "r1")).status()).isEqualTo(200);
+        assertThat(entry.isReady()).isTrue();
+    }
+
+    @Test
+    void should_hand_nothing_to_an_upstream_that_has_said_that_it_leaves() throws Exception {
+        // given
+        ask(RawCaller.get("/read/1", "r0"));
+
+        // when
+        assertThat(target.announce("i-1", 100, 2, "draining")).isEqualTo(200);
+        RawCaller.Answer answer = ask(RawCaller.get("/read/1", "r1"));
+
+        // then
+        assertThat(answer.status()).isEqualTo(503);
+        assertThat(upstream.runs("r1")).isEqualTo(0);
+    }
+
+    @Test
+    void should_send_no_call_to_another_node_that_has_the_address_of_a_former_one()
+            throws Exception {
+        // given
+        ask(RawCaller.get("/read/1", "r0"));
+        target.kill();
+
+        // when a node with another service takes its address
+        try (UpstreamStandIn reused = new UpstreamStandIn();
+                RelayUnderTest successor =
+                        new RelayUnderTest(
+                                "successor",
+                                "other",
+                                reused.address(),
+                                fleet.store.address(),
+                                target.links(),
+                                List.of())) {
+            successor.announce("i-9", 900, 1, "ready");
+            Fleet.await(() -> entry.log().contains("event=member-added node=successor"));
+            RawCaller.Answer answer = ask(RawCaller.get("/read/1", "r1"));
+
+            // then
+            assertThat(answer.status()).isEqualTo(503);
+            assertThat(reused.requests()).isEmpty();
+        }
+    }
+
+    @Test
+    void should_not_cut_calls_of_a_node_when_a_former_owner_of_its_address_is_still_listed()
+            throws Exception {
+        // given the row of a node that has gone, with the address of the target
+        ask(RawCaller.get("/read/1", "r0"));
+        upstream.script(
+                (request, connection) -> {
+                    Thread.sleep(600);
+                    UpstreamStandIn.ok(request, connection);
+                });
+        CompletableFuture<RawCaller.Answer> slow =
+                CompletableFuture.supplyAsync(() -> askUnchecked(RawCaller.get("/read/1", "r1")));
+        Fleet.await(() -> upstream.runs("r1") == 1);
+
+        // when a new node appears under the same address and is called
+        try (RelayUnderTest ghost =
+                new RelayUnderTest(
+                        "ghost", "books", upstream.address(), fleet.store.address())) {
+            ghost.announce("i-1", 100, 1, "ready");
+            Fleet.await(() -> entry.log().contains("event=member-added node=ghost"));
+        }
+        askUnchecked(RawCaller.get("/read/1", "r2"));
+
+        // then
+        assertThat(slow.get().status()).isEqualTo(200);
+    }
+
+    @Test
+    void should_end_what_was_begun_in_a_planned_stop() throws Exception {
+        // given
+        upstream.script(
+                (request, connection) -> {
+                    Thread.sleep(700);
+                    UpstreamStandIn.ok(request, connection);
+                });
+        CompletableFuture<RawCaller.Answer> open =
+                CompletableFuture.supplyAsync(
+                        () -> askUnchecked(RawCaller.post("/order/1", "r1", "body")));
+        Fleet.await(() -> upstream.runs("r1") == 1);
+
+        // when
+        CompletableFuture<Void> stopped = target.stop();
+
+        // then
+        assertThat(target.isReady()).isFalse();
+        assertThat(open.get().status()).isEqualTo(200);
+        stopped.get();
+    }
+
+    @Test
+    void should_answer_what_is_still_open_at_the_end_of_a_planned_stop() throws Exception {
+        // given
+        upstream.script((request, connection) -> Thread.sleep(10_000));
+        long started = System.nanoTime();
+        CompletableFuture<RawCaller.Answer> open =
+                CompletableFuture.supplyAsync(
+                        () -> askUnchecked(RawCaller.post("/order/1", "r1", "body")));
+        Fleet.await(() -> upstream.runs("r1") == 1);
+
+        // when
+        entry.stop().get();
+
+        // then
+        assertThat(open.get().status()).isEqualTo(504);
+        assertThat((System.nanoTime() - started) / 1_000_000).isLessThan(1900L);
+    }
+
+    @Test
+    void should_run_once_and_tell_unknown_when_the_target_dies_with_a_call_that_may_not_be_repeated()
+            throws Exception {
+        // given
+        upstream.script((request, connection) -> Thread.sleep(5000));
+        CompletableFuture<RawCaller.Answer> open =
+                CompletableFuture.supplyAsync(
+                        () -> askUnchecked(RawCaller.post("/order/1", "r1", "body")));
+        Fleet.await(() -> upstream.runs("r1") == 1);
+
+        // when
+        target.kill();
+
+        // then
+        assertThat(open.get().status()).isIn(List.of(502, 504));
+        assertThat(upstream.runs("r1")).isEqualTo(1);
+    }
+
+    @Test
+    void should_try_another_target_when_one_dies_with_a_call_that_may_be_repeated()
+            throws Exception {
+        // given
+        try (UpstreamStandIn second = new UpstreamStandIn();
+                RelayUnderTest other = fleet.relay("zother", second)) {
+            Fleet.await(() -> entry.log().contains("event=member-added node=zother"));
+            upstream.script((request, connection) -> Thread.sleep(5000));
+            second.script((request, connection) -> Thread.sleep(5000));
+            CompletableFuture<RawCaller.Answer> open =
+                    CompletableFuture.supplyAsync(
+                            () -> askUnchecked(RawCaller.get("/read/1", "r1")));
+            Fleet.await(() -> upstream.runs("r1") + second.runs("r1") == 1);
+            boolean atTarget = upstream.runs("r1") == 1;
+
+            // when
+            upstream.script(UpstreamStandIn::ok);
+            second.script(UpstreamStandIn::ok);
+            (atTarget ? target : other).kill();
+
+            // then
+            assertThat(open.get().status()).isEqualTo(200);
+        }
+    }
+
+    @Test
+    void should_remove_its_record_when_its_upstream_has_gone_for_good() throws Exception {
+        // given
+        Fleet.await(() -> fleet.store.holds("members", "target"));
+
+        // when
+        target.post("/v1/Instances.Deregister/i-1", "{\"born\":100}");
+        target.stop().get();
+
+        // then
+        Fleet.await(() -> !fleet.store.holds("members", "target"));
+        Fleet.await(() -> entry.log().contains("event=member-removed node=target"));
+    }
+
+    private RawCaller.Answer ask(String request) throws Exception {
+        try (RawCaller caller = entry.caller()) {
+            return caller.ask(request);
+        }
+    }
+
+    private RawCaller.Answer askUnchecked(String request) {
+        try {
+            return ask(request);
+        } catch (Exception failure) {
+            throw new IllegalStateException(failure);
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/test/java/org/damaskmoor/relay/UpstreamSideTest.java
@@ -0,0 +1,281 @@
+package org.damaskmoor.relay;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.damaskmoor.relay.fixture.Fleet;
+import org.damaskmoor.relay.fixture.RawCaller;
+import org.damaskmoor.relay.fixture.RelayUnderTest;
+import org.damaskmoor.relay.fixture.UpstreamStandIn;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What upstreams may send, and what callers may get for it. */
+class UpstreamSideTest {
+    private Fleet fleet;
+    private UpstreamStandIn upstream;
+    private RelayUnderTest relay;
+
+    @BeforeEach
+    void start() throws Exception {
+        fleet = new Fleet();
+        upstream = new UpstreamStandIn();
+        relay = fleet.relay("one", upstream);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        relay.close();
+        upstream.close();
+        fleet.close();
+    }
+
+    @Test
+    void should_pass_on_status_body_and_proof_of_a_whole_answer() throws Exception {
+        // when
+        RawCaller.Answer answer = ask(RawCaller.get("/read/1?x=%20y", "r1"));
+
+        // then
+        assertThat(answer.status()).isEqualTo(200);
+        assertThat(answer.body()).isEqualTo("answer to r1");
+        assertThat(answer.headers().get("server-stamp")).isEqualTo("proof-r1");
+        assertThat(answer.headers().get("request-id")).isEqualTo("r1");
+        UpstreamStandIn.Request request = upstream.requests().get(0);
+        assertThat(request.line()).isEqualTo("GET /read/1?x=%20y HTTP/1.1");
+        assertThat(request.headers().get("caller-service")).isEqualTo("books");
+        assertThat(request.headers().get("expect-instance")).isEqualTo("i-1");
+        assertThat(Integer.parseInt(request.headers().get("deadline-ms"))).isAtMost(2000);
+    }
+
+    @Test
+    void should_skip_an_extra_answer_that_comes_with_the_first() throws Exception {
+        // given
+        upstream.script(
+                (request, connection) -> {
+                    String answer = UpstreamStandIn.answer(request.id(), 200, "of " + request.id());
+                    connection.send(answer + answer);
+                });
+
+        // when, then
+        for (int i = 0; i < 5; i++) {
+            assertThat(ask(RawCaller.get("/read/1", "r" + i)).body()).isEqualTo("of r" + i);
+        }
+    }
+
+    @Test
+    void should_skip_an_extra_answer_that_comes_in_the_place_of_the_next() throws Exception {
+        // given
+        upstream.script(
+                (request, connection) -> {
+                    String answer = UpstreamStandIn.answer(request.id(), 200, "of " + request.id());
+                    connection.send(answer);
+                    Thread.sleep(30);
+                    connection.send(answer);
+                });
+
+        // when, then
+        for (int i = 0; i < 10; i++) {
+            assertThat(ask(RawCaller.get("/read/1", "r" + i)).body()).isEqualTo("of r" + i);
+            Thread.sleep(10L * (i % 5));
+        }
+    }
+
+    @Test
+    void should_skip_interim_answers() throws Exception {
+        // given
+        upstream.script(
+                (request, connection) -> {
+                    connection.send("HTTP/1.1 100 Continue\r\n\r\n");
+                    connection.send("HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n");
+                    UpstreamStandIn.ok(request, connection);
+                });
+
+        // when, then
+        assertThat(ask(RawCaller.post("/order/1", "r1", "body")).body()).isEqualTo("answer to r1");
+    }
+
+    @Test
+    void should_not_pass_on_an_answer_that_was_cut_off() throws Exception {
+        // given
+        upstream.script(
+                (request, connection) -> {
+                    connection.send(
+                            "HTTP/1.1 200 OK\r\nRequest-Id: "
+                                    + request.id()
+                                    + "\r\nContent-Length: 100\r\n\r\nhalf");
+                    connection.close();
+                });
+
+        // when, then
+        assertThat(ask(RawCaller.post("/order/1", "r1", "body")).status()).isEqualTo(502);
+        assertThat(upstream.runs("r1")).isEqualTo(1);
+    }
+
+    @Test
+    void should_pass_on_an_answer_without_length_that_ends_with_its_connection() throws Exception {
+        // given
+        upstream.script(
+                (request, connection) -> {
+                    connection.send(
+                            "HTTP/1.1 200 OK\r\nRequest-Id: " + request.id() + "\r\n\r\nall of it");
+                    connection.close();
+                });
+
+        // when, then
+        assertThat(ask(RawCaller.get("/read/1", "r1")).body()).isEqualTo("all of it");
+    }
+
+    @Test
+    void should_not_pass_on_an_answer_without_length_that_was_reset() throws Exception {
+        // given
+        upstream.script(
+                (request, connection) -> {
+                    connection.send(
+                            "HTTP/1.1 200 OK\r\nRequest-Id: " + request.id() + "\r\n\r\nhalf");
+                    Thread.sleep(50);
+                    connection.reset();
+                });
+
+        // when, then
+        assertThat(ask(RawCaller.post("/order/1", "r1", "body")).status()).isEqualTo(502);
+    }
+
+    @Test
+    void should_not_pass_on_bytes_that_are_no_answer() throws Exception {
+        // given
+        upstream.script(
+                (request, connection) -> {
+                    connection.send("\u0001\u0002 nonsense\r\n\r\n");
+                    connection.close();
+                });
+
+        // when, then
+        assertThat(ask(RawCaller.post("/order/1", "r1", "body")).status()).isEqualTo(502);
+    }
+
+    @Test
+    void should_tell_not_run_when_the_upstream_says_so() throws Exception {
+        // given
+        upstream.script(
+                (request, connection) ->
+                        connection.send(
+                                "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nRequest-Id: "
+                                        + request.id()
+                                        + "\r\nContent-Length: 0\r\n\r\n"));
+
+        // when
+        RawCaller.Answer answer = ask(RawCaller.post("/order/1", "r1", "body"));
+
+        // then
+        assertThat(answer.status()).isEqualTo(503);
+        assertThat(Double.parseDouble(answer.headers().get("retry-after"))).isGreaterThan(0.0);
+    }
+
+    @Test
+    void should_not_take_a_late_refusal_of_another_request_for_its_own() throws Exception {
+        // given
+        upstream.script(
+                (request, connection) -> {
+                    connection.send(
+                            "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nRequest-Id: former\r\n"
+                                    + "Content-Length: 0\r\n\r\n");
+                    UpstreamStandIn.ok(request, connection);
+                });
+
+        // when, then
+        assertThat(ask(RawCaller.post("/order/1", "r1", "body")).status()).isEqualTo(200);
+    }
+
+    @Test
+    void should_answer_at_the_timeout_of_the_route_when_the_upstream_is_silent() throws Exception {
+        // given
+        upstream.script((request, connection) -> Thread.sleep(10_000));
+        long started = System.nanoTime();
+
+        // when
+        RawCaller.Answer answer = ask(RawCaller.get("/read/1", "r1"));
+
+        // then
+        long took = (System.nanoTime() - started) / 1_000_000;
+        assertThat(answer.status()).isEqualTo(504);
+        assertThat(took).isAtLeast(1900L);
+        assertThat(took).isAtMost(2500L);
+    }
+
+    @Test
+    void should_run_a_request_that_may_not_be_repeated_once_although_its_answer_is_lost()
+            throws Exception {
+        // given
+        upstream.script((request, connection) -> connection.reset());
+
+        // when
+        RawCaller.Answer answer = ask(RawCaller.post("/order/1", "r1", "body"));
+
+        // then
+        assertThat(answer.status()).isEqualTo(502);
+        assertThat(upstream.runs("r1")).isEqualTo(1);
+    }
+
+    @Test
+    void should_hand_nothing_to_another_upstream_that_has_the_address() throws Exception {
+        // given
+        upstream.script(
+                (request, connection) ->
+                        connection.send(
+                                "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: i-2\r\n"
+                                        + "Content-Length: 0\r\n\r\n"));
+
+        // when, then
+        assertThat(ask(RawCaller.post("/order/1", "r1", "body")).status()).isEqualTo(503);
+    }
+
+    @Test
+    void should_drop_the_request_at_the_upstream_when_the_caller_leaves() throws Exception {
+        // given
+        java.util.concurrent.CountDownLatch dropped = new java.util.concurrent.CountDownLatch(1);
+        upstream.script(
+                (request, connection) -> {
+                    if (connection.socket().getInputStream().read() < 0) {
+                        dropped.countDown();
+                    }
+                });
+
+        // when
+        try (RawCaller caller = relay.caller()) {
+            caller.send(RawCaller.get("/read/1", "r1"));
+            Fleet.await(() -> upstream.runs("r1") == 1);
+        }
+
+        // then
+        assertThat(dropped.await(1, java.util.concurrent.TimeUnit.SECONDS)).isTrue();
+    }
+
+    @Test
+    void should_start_nothing_in_a_slow_moment_of_the_vm() throws Exception {
+        // given
+        ask(RawCaller.get("/read/1", "first"));
+        upstream.load("0,0,9,100");
+        ask(RawCaller.get("/read/1", "second"));
+        upstream.load("0,0,9,500");
+        Thread.sleep(50);
+
+        // when
+        try (RawCaller caller = relay.caller()) {
+            caller.send(RawCaller.get("/read/1", "held"));
+            Thread.sleep(100);
+            long startedWhileSlow = upstream.runs("held");
+            upstream.load("0,0,9,100");
+            RawCaller.Answer answer = caller.read();
+
+            // then
+            assertThat(startedWhileSlow).isEqualTo(0);
+            assertThat(answer.status()).isEqualTo(200);
+        }
+    }
+
+    private RawCaller.Answer ask(String request) throws Exception {
+        try (RawCaller caller = relay.caller()) {
+            return caller.ask(request);
+        }
+    }
+}
