--- a/core/src/main/java/org/damaskmoor/core/waiting/WaitingRoom.java
+++ b/core/src/main/java/org/damaskmoor/core/waiting/WaitingRoom.java
@@ -18,10 +18,10 @@
  *
  * <p>A call waits only where its turn is expected before its answer loses its worth; otherwise it
  * is sent back at once, so that its caller can go elsewhere or come again. The most urgent go
- * first. Among equals, calls that are much shorter than usual go first: they cost the others little,
- * and are often calls that a longer one elsewhere waits for. Then come those that can still reach
- * their goal, the one with the nearest goal first. An urgent call takes the place of a less urgent
- * one when the room is full.
+ * first. Among equals, calls that are much shorter than usual go first: they cost the others
+ * little, and are often calls that a longer one elsewhere waits for. Then come those that can still
+ * reach their goal, the one with the nearest goal first. An urgent call takes the place of a less
+ * urgent one when the room is full.
  *
  * <p>Invariants: never more running than the limit, save after the limit fell; a call leaves the
  * room once. Times are in milliseconds of one monotonic clock. Not thread-safe.
--- a/core/src/test/java/org/damaskmoor/core/waiting/SlowMomentsTest.java
+++ b/core/src/test/java/org/damaskmoor/core/waiting/SlowMomentsTest.java
@@ -60,8 +60,8 @@
     }
 
     /**
-     * Replays a VM that is five times slower in a quarter of its moments of 150 ms, where work keeps
-     * the speed it started with: the former way starts at once.
+     * Replays a VM that is five times slower in a quarter of its moments of 150 ms, where work
+     * keeps the speed it started with: the former way starts at once.
      */
     @Test
     void should_halve_the_time_of_work_on_a_vm_with_slow_moments() {
--- a/core/src/test/java/org/damaskmoor/core/waiting/WaitingRoomTest.java
+++ b/core/src/test/java/org/damaskmoor/core/waiting/WaitingRoomTest.java
@@ -55,8 +55,7 @@
         offer("a", 1, 5000);
 
         // when
-        Verdict verdict =
-                room.offer(new WaitingCall<>("b", 1, 120, 150, 100, 0, true), 0, true, 0);
+        Verdict verdict = room.offer(new WaitingCall<>("b", 1, 120, 150, 100, 0, true), 0, true, 0);
 
         // then
         assertThat(verdict.kind()).isEqualTo(Kind.SEND_BACK);
--- a/relay/src/main/java/org/damaskmoor/relay/Rehearsal.java
+++ b/relay/src/main/java/org/damaskmoor/relay/Rehearsal.java
@@ -24,7 +24,8 @@
 
 /**
  * Starts a relay on loopback ports and sends it a few requests, so that the virtual machine can
- * archive the classes of a start. A relay that starts from the archive serves about a second sooner.
+ * archive the classes of a start. A relay that starts from the archive serves about a second
+ * sooner.
  *
  * <p>Used by the build. Confined to one thread.
  */
--- a/relay/src/main/java/org/damaskmoor/relay/internal/PeerNews.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/PeerNews.java
@@ -50,8 +50,7 @@
     }
 
     /** Begins to watch whether the store answers. */
-    void start(
-            List<String> seedHosts, int linkPort, Function<InetSocketAddress, CallLink> links) {
+    void start(List<String> seedHosts, int linkPort, Function<InetSocketAddress, CallLink> links) {
         for (String seed : seedHosts) {
             int colon = seed.lastIndexOf(':');
             String host = colon < 0 ? seed : seed.substring(0, colon);
@@ -64,8 +63,7 @@
         if (storeLost.getAsBoolean()) {
             List<CallLink> links = reachable();
             for (int i = 0; i < PEERS && !links.isEmpty(); i++) {
-                links.remove(random.nextInt(links.size()))
-                        .requestNews(configuration.version());
+                links.remove(random.nextInt(links.size())).requestNews(configuration.version());
             }
         }
         timers.after(PERIOD_MILLISECONDS, this::ask);
--- a/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
@@ -182,7 +182,9 @@
                         .map(
                                 address ->
                                         new SmallHttpServer(
-                                                loop, address, (method, path, body) -> metrics(path)));
+                                                loop,
+                                                address,
+                                                (method, path, body) -> metrics(path)));
         this.stop = new GracefulStop(timers, settings.stopMilliseconds());
         metrics.gauge("open-requests", entry::openRequests);
         metrics.gauge("members", () -> fleet.all().size());
@@ -302,8 +304,7 @@
                 .setNodeId(self.value())
                 .setIncarnation(incarnation.value())
                 .setRevision(revision)
-                .setAddress(
-                        settings.links().getHostString() + ":" + settings.links().getPort())
+                .setAddress(settings.links().getHostString() + ":" + settings.links().getPort())
                 .setDataCentre(settings.dataCentre().value())
                 .setRegion(settings.region().value())
                 .setService(service)
@@ -351,7 +352,9 @@
     private String statusPath() {
         return target.register()
                 .current()
-                .flatMap(upstream -> configuration.table().flatMap(t -> t.service(upstream.service())))
+                .flatMap(
+                        upstream ->
+                                configuration.table().flatMap(t -> t.service(upstream.service())))
                 .map(ServiceEntry::healthPath)
                 .orElse("");
     }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/caller/CallerConnection.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/caller/CallerConnection.java
@@ -227,7 +227,8 @@
             return;
         }
         if (head != null) {
-            if (now - headAt > limits.headerTimeoutMilliseconds() + limits.idleTimeoutMilliseconds()) {
+            if (now - headAt
+                    > limits.headerTimeoutMilliseconds() + limits.idleTimeoutMilliseconds()) {
                 refuse(TIMEOUT);
             }
         } else if (now - quietSince > limits.idleTimeoutMilliseconds()) {
--- a/relay/src/main/java/org/damaskmoor/relay/internal/caller/CallerReply.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/caller/CallerReply.java
@@ -27,10 +27,7 @@
                 String.format(
                         Locale.ROOT, "%.3f", retryAfterMilliseconds / MILLISECONDS_PER_SECOND);
         HeaderField retryAfter =
-                HeaderField.newBuilder()
-                        .setName(HeaderNames.RETRY_AFTER)
-                        .setValue(seconds)
-                        .build();
+                HeaderField.newBuilder().setName(HeaderNames.RETRY_AFTER).setValue(seconds).build();
         return new CallerReply(
                 503, List.of(retryAfter), ByteString.copyFromUtf8("not run: " + reason + "\n"));
     }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryDesk.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryDesk.java
@@ -79,7 +79,9 @@
         List.copyOf(exchanges.values()).forEach(EntryExchange::end);
     }
 
-    /** When a request failed here last, or its caller left, in milliseconds of the monotonic clock. */
+    /**
+     * When a request failed here last, or its caller left, in milliseconds of the monotonic clock.
+     */
     public long lastFailureAt() {
         return lastFailureAt;
     }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
@@ -158,10 +158,7 @@
                         && route.idempotent()
                         && mayReachAnother();
         needsBudget = triedAgain;
-        perform(
-                triedAgain
-                        ? call.failed(attemptId(attempt))
-                        : call.answered(attemptId(attempt)));
+        perform(triedAgain ? call.failed(attemptId(attempt)) : call.answered(attemptId(attempt)));
     }
 
     private double kilobytes(ForwardedAnswer received) {
@@ -292,8 +289,7 @@
         if (call.sent(attempt, targetId)) {
             boolean lastChoice = sentBack >= MOST_SENT_BACK || candidates.size() == 1;
             attempts.put(
-                    attempt.attempt(),
-                    new SentAttempt(attempt.attempt(), target, targetId, now()));
+                    attempt.attempt(), new SentAttempt(attempt.attempt(), target, targetId, now()));
             tried.add(target.node());
             boolean repeated = atUpstream > 0;
             atUpstream++;
@@ -394,8 +390,7 @@
                                 .setAttempt(attempt.attempt())
                                 .setTargetIncarnation(sent.target.link().targetIncarnation())
                                 .build());
-        context.timers()
-                .after(SEAL_TIMEOUT_MILLISECONDS, () -> perform(call.sealTimeout(attempt)));
+        context.timers().after(SEAL_TIMEOUT_MILLISECONDS, () -> perform(call.sealTimeout(attempt)));
     }
 
     private void cancel(AttemptId attempt) {
--- a/relay/src/main/java/org/damaskmoor/relay/internal/fleet/FleetDirectory.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/FleetDirectory.java
@@ -204,8 +204,7 @@
         targets.put(target.node(), target);
         byService
                 .computeIfAbsent(
-                        new ServiceName(target.member().getService()),
-                        service -> new ArrayList<>())
+                        new ServiceName(target.member().getService()), service -> new ArrayList<>())
                 .add(target);
     }
 
@@ -218,10 +217,7 @@
         if (removed != null) {
             byService.get(new ServiceName(removed.member().getService())).remove(removed);
             removed.link().close();
-            log.event("member-removed")
-                    .with("node", node)
-                    .with("members", targets.size())
-                    .write();
+            log.event("member-removed").with("node", node).with("members", targets.size()).write();
         }
     }
 
--- a/relay/src/main/java/org/damaskmoor/relay/internal/link/LinkDialer.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/LinkDialer.java
@@ -32,8 +32,7 @@
                 new Bootstrap()
                         .group(loop)
                         .channel(NioSocketChannel.class)
-                        .option(
-                                ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
                         .option(ChannelOption.TCP_NODELAY, true);
         KeepAliveProbes.enable(bootstrap);
     }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/link/OutgoingLink.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/OutgoingLink.java
@@ -197,8 +197,7 @@
     public void send(CallCancel cancel) {
         awaited.remove(cancel.getSequence());
         waiting.removeIf(
-                frame ->
-                        frame.hasCall() && frame.getCall().getSequence() == cancel.getSequence());
+                frame -> frame.hasCall() && frame.getCall().getSequence() == cancel.getSequence());
         if (isUp()) {
             channel.writeAndFlush(LinkFrame.newBuilder().setCancel(cancel).build());
         }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/log/BoundedEventLog.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/log/BoundedEventLog.java
@@ -11,8 +11,8 @@
  * Hands lines to a thread that writes them, in batches.
  *
  * <p>Confined to the event loop, but for the writing thread. Invariants: the event loop never waits
- * for the output; each kind of event has at most {@link #MOST_LINES_PER_SECOND} lines a second; what
- * is left out is counted in a line of its own.
+ * for the output; each kind of event has at most {@link #MOST_LINES_PER_SECOND} lines a second;
+ * what is left out is counted in a line of its own.
  */
 public final class BoundedEventLog implements EventLog {
     /** Lines of one kind in a second; enough to follow single requests in ordinary load. */
--- a/relay/src/main/java/org/damaskmoor/relay/internal/metrics/RelayMetrics.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/metrics/RelayMetrics.java
@@ -2,8 +2,8 @@
 
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
-import com.codahale.metrics.Snapshot;
 import com.codahale.metrics.SlidingTimeWindowArrayReservoir;
+import com.codahale.metrics.Snapshot;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -64,7 +64,8 @@
         Snapshot snapshot = histogram.getSnapshot();
         line(text, name + "_count", histogram.getCount());
         for (double quantile : QUANTILES) {
-            String label = String.format(Locale.ROOT, "%s_milliseconds_p%.0f", name, 100 * quantile);
+            String label =
+                    String.format(Locale.ROOT, "%s_milliseconds_p%.0f", name, 100 * quantile);
             line(text, label, Math.round(snapshot.getValue(quantile)));
         }
     }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetCall.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetCall.java
@@ -37,10 +37,7 @@
         if (fingerprint == null) {
             fingerprint =
                     RequestFingerprint.of(
-                            call.getMethod(),
-                            call.getTarget(),
-                            call.getBody().toByteArray(),
-                            "");
+                            call.getMethod(), call.getTarget(), call.getBody().toByteArray(), "");
         }
         return fingerprint;
     }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnection.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnection.java
@@ -196,8 +196,7 @@
         if (status == MISDIRECTED) {
             return new UpstreamOutcome.NotRun(UpstreamOutcome.Cause.OTHER_UPSTREAM, load);
         }
-        boolean mayRefuse =
-                status == UNAVAILABLE || status == TOO_MANY || status == BAD_REQUEST;
+        boolean mayRefuse = status == UNAVAILABLE || status == TOO_MANY || status == BAD_REQUEST;
         if (mayRefuse && response.headers().contains(HeaderNames.NOT_RUN)) {
             return new UpstreamOutcome.NotRun(UpstreamOutcome.Cause.SHED, load);
         }
--- a/relay/src/test/java/org/damaskmoor/relay/FleetTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/FleetTest.java
@@ -97,8 +97,7 @@
         // given a node for which the store is away from the start
         try (StoreStandIn away = new StoreStandIn()) {
             away.mode(StoreStandIn.Mode.UNAVAILABLE);
-            InetSocketAddress links =
-                    new InetSocketAddress("127.0.0.3", target.links().getPort());
+            InetSocketAddress links = new InetSocketAddress("127.0.0.3", target.links().getPort());
             List<String> seeds = List.of(target.links().getHostString() + ":1");
 
             // when
@@ -201,8 +200,7 @@
 
         // when a new node appears under the same address and is called
         try (RelayUnderTest ghost =
-                new RelayUnderTest(
-                        "ghost", "books", upstream.address(), fleet.store.address())) {
+                new RelayUnderTest("ghost", "books", upstream.address(), fleet.store.address())) {
             ghost.announce("i-1", 100, 1, "ready");
             Fleet.await(() -> entry.log().contains("event=member-added node=ghost"));
         }
@@ -253,8 +251,9 @@
     }
 
     @Test
-    void should_run_once_and_tell_unknown_when_the_target_dies_with_a_call_that_may_not_be_repeated()
-            throws Exception {
+    void
+            should_run_once_and_tell_unknown_when_the_target_dies_with_a_call_that_may_not_be_repeated()
+                    throws Exception {
         // given
         upstream.script((request, connection) -> Thread.sleep(5000));
         CompletableFuture<RawCaller.Answer> open =
