--- a/relay/src/main/java/org/damaskmoor/relay/RelayMain.java
+++ b/relay/src/main/java/org/damaskmoor/relay/RelayMain.java
@@ -59,7 +59,7 @@
         try {
             Rehearsal.run();
             return EXIT_PLANNED_STOP;
-        } catch (IOException | ExecutionException failure) {
+        } catch (IOException | ExecutionException | CompletionException failure) {
             System.err.println("The rehearsal failed: " + failure.getMessage());
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
