--- a/node/src/main/java/org/damaskmoor/node/internal/metrics/NodeMetric.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/metrics/NodeMetric.java
@@ -2,7 +2,7 @@
 
 /**
  * Every metric of a node: the one place for names, units and meanings. The table in
- * docs/OPERATORS.md is held to it by a test.
+ * docs/OPERATIONS.md is held to it by a test.
  *
  * <p>Immutable and thread-safe.
  */
--- a/node/src/main/java/org/damaskmoor/node/internal/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/metrics/NodeMetrics.java
@@ -12,7 +12,7 @@
 import org.damaskmoor.schema.mesh.RefusalReason;
 
 /**
- * Counts how requests end. Names and units stand in docs/OPERATORS.md.
+ * Counts how requests end. Names and units stand in docs/OPERATIONS.md.
  *
  * <p>Thread-safe.
  */
--- a/node/src/test/java/org/damaskmoor/node/internal/metrics/NodeMetricTest.java
+++ b/node/src/test/java/org/damaskmoor/node/internal/metrics/NodeMetricTest.java
@@ -12,7 +12,7 @@
     @Test
     void should_stand_in_the_operators_page_when_there_is_a_metric() throws IOException {
         // given
-        String page = Files.readString(Path.of("..", "docs", "OPERATORS.md"));
+        String page = Files.readString(Path.of("..", "docs", "OPERATIONS.md"));
 
         // then
         for (NodeMetric metric : NodeMetric.values()) {
--- a/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
@@ -32,6 +32,7 @@
 import org.damaskmoor.relay.internal.entry.RetryBudgets;
 import org.damaskmoor.relay.internal.fleet.ConfigurationHolder;
 import org.damaskmoor.relay.internal.fleet.FleetDirectory;
+import org.damaskmoor.relay.internal.fleet.FleetTarget;
 import org.damaskmoor.relay.internal.fleet.OwnRecord;
 import org.damaskmoor.relay.internal.fleet.TableWatch;
 import org.damaskmoor.relay.internal.link.EntryName;
@@ -65,6 +66,12 @@
     private static final int LEDGER_FENCES = 1024;
     private static final long TICK_MILLISECONDS = 1000;
 
+    /** Changes of members within this time cost one call to the store. */
+    private static final long READER_REST_MILLISECONDS = 400;
+
+    /** How long a node that hears of members from its region's readers leaves the store alone. */
+    private static final long OTHERS_REST_MILLISECONDS = 8000;
+
     /** Time for the last replies to be written before connections are closed. */
     private static final long LAST_REPLIES_MILLISECONDS = 50;
 
@@ -152,10 +159,22 @@
         this.ownRecord = new OwnRecord(self, store, timers, random, log);
         this.memberWatch =
                 new TableWatch(
-                        FleetDirectory.TABLE, store, timers, random, log, new MemberListener());
+                        FleetDirectory.TABLE,
+                        store,
+                        timers,
+                        random,
+                        log,
+                        new MemberListener(),
+                        this::memberRest);
         this.configurationWatch =
                 new TableWatch(
-                        ConfigurationDecoder.TABLE, store, timers, random, log, configuration);
+                        ConfigurationDecoder.TABLE,
+                        store,
+                        timers,
+                        random,
+                        log,
+                        configuration,
+                        () -> 0);
         this.peerNews =
                 new PeerNews(fleet, configuration, crashes, this::isStoreLost, timers, random);
         this.links =
@@ -241,7 +260,7 @@
         boolean upstreamGone = target.register().isLeaving();
         CompletableFuture<Void> left =
                 upstreamGone
-                        ? ownRecord.leave(fleet.storedVersion(self))
+                        ? ownRecord.leave()
                         : CompletableFuture.completedFuture(null);
         return stop.run(
                         entry::refuseNew,
@@ -312,6 +331,12 @@
                 .build();
     }
 
+    /** Readers of a region ask again soon; the others hear of changes from them. */
+    private long memberRest() {
+        long rest = fleet.isReader() ? READER_REST_MILLISECONDS : OTHERS_REST_MILLISECONDS;
+        return rest / 2 + random.nextLong(rest);
+    }
+
     private LinkHello greeting() {
         LinkHello.Builder hello =
                 LinkHello.newBuilder()
@@ -386,7 +411,22 @@
             fleet.onChange(row);
             if (row.key().equals(self.value())) {
                 ownRecord.onStored(row);
+            } else if (fleet.isReader()) {
+                tell(row);
             }
         }
+
+        private void tell(StoredRow row) {
+            Optional<FleetMember> known =
+                    row.removed()
+                            ? Optional.of(
+                                    FleetMember.newBuilder()
+                                            .setNodeId(row.key())
+                                            .setIncarnation(Long.MAX_VALUE)
+                                            .setDeparted(true)
+                                            .build())
+                            : fleet.find(new NodeId(row.key())).map(FleetTarget::member);
+            known.ifPresent(fleet::tellRegion);
+        }
     }
 }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/fleet/FleetDirectory.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/FleetDirectory.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.damaskmoor.core.hash.StableHash;
 import org.damaskmoor.core.id.DataCentreName;
 import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.core.id.RegionName;
@@ -21,6 +22,7 @@
 import org.damaskmoor.relay.internal.log.EventLog;
 import org.damaskmoor.relay.internal.time.Timers;
 import org.damaskmoor.schema.link.FleetMember;
+import org.damaskmoor.schema.link.FleetNews;
 import org.damaskmoor.schema.link.LinkHello;
 
 /**
@@ -44,6 +46,9 @@
     private final Map<NodeId, Long> storedVersions = new HashMap<>();
     private boolean snapshotSeen;
 
+    /** Nodes of a region that watch the records closely: two, so that one may be lost. */
+    private static final int READERS = 2;
+
     /** Makes the link to a node. */
     @FunctionalInterface
     public interface LinkMaker {
@@ -91,9 +96,30 @@
         return snapshotSeen;
     }
 
-    /** Version of a node's row in the store, or 0 when none is known. */
-    public long storedVersion(NodeId node) {
-        return storedVersions.getOrDefault(node, 0L);
+    /**
+     * Whether this node is one of those that tell their region what the store tells them, so that
+     * not every node has to ask the store for every change.
+     */
+    public boolean isReader() {
+        long own = StableHash.of(self.value());
+        int before = 0;
+        for (FleetTarget target : targets.values()) {
+            boolean sameRegion = target.member().getRegion().equals(region.value());
+            if (sameRegion && StableHash.of(target.node().value()) < own) {
+                before++;
+            }
+        }
+        return before < READERS;
+    }
+
+    /** Tells the other nodes of the region of a changed or removed record. */
+    public void tellRegion(FleetMember changed) {
+        FleetNews news = FleetNews.newBuilder().addMembers(changed).build();
+        for (FleetTarget target : targets.values()) {
+            if (target.member().getRegion().equals(region.value())) {
+                target.link().send(news);
+            }
+        }
     }
 
     @Override
--- a/relay/src/main/java/org/damaskmoor/relay/internal/fleet/OwnRecord.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/OwnRecord.java
@@ -28,6 +28,7 @@
     private FleetMember wanted = FleetMember.getDefaultInstance();
     private FleetMember stored = FleetMember.getDefaultInstance();
     private boolean storedKnown;
+    private long storedVersion;
     private boolean writing;
     private boolean leaving;
 
@@ -43,6 +44,7 @@
     /** The store's row of this node, as it was read or has changed. */
     public void onStored(StoredRow row) {
         storedKnown = true;
+        storedVersion = row.removed() ? 0 : row.version();
         try {
             stored =
                     row.removed()
@@ -69,12 +71,12 @@
     }
 
     /** Removes the record; completes when the store has done so or did not answer. */
-    public CompletableFuture<Void> leave(long version) {
+    public CompletableFuture<Void> leave() {
         leaving = true;
-        if (version == 0) {
+        if (storedVersion == 0) {
             return CompletableFuture.completedFuture(null);
         }
-        return store.remove(FleetDirectory.TABLE, self.value(), version)
+        return store.remove(FleetDirectory.TABLE, self.value(), storedVersion)
                 .handle(
                         (removed, failure) -> {
                             log.event("record-removed")
@@ -95,7 +97,7 @@
                         (version, failure) -> {
                             writing = false;
                             if (failure == null) {
-                                onWritten(written);
+                                onWritten(written, version);
                             } else {
                                 long pause =
                                         PAUSE_MILLISECONDS + random.nextLong(PAUSE_MILLISECONDS);
@@ -104,8 +106,9 @@
                         });
     }
 
-    private void onWritten(FleetMember written) {
+    private void onWritten(FleetMember written, long version) {
         stored = written;
+        storedVersion = version;
         log.event("record-written").with("node", self).write();
         writeIfNeeded();
     }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/fleet/TableWatch.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/TableWatch.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletionException;
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.damaskmoor.platform.machines.HistoryGoneException;
 import org.damaskmoor.platform.machines.RowPage;
@@ -24,12 +25,16 @@
 
     private static final long GREATEST_PAUSE_MILLISECONDS = 1200;
 
+    /** After a table was read, changes are asked for within this time, whatever the rest. */
+    private static final long GREATEST_FIRST_REST_MILLISECONDS = 3000;
+
     private final String table;
     private final RowStore store;
     private final Timers timers;
     private final RandomGenerator random;
     private final EventLog log;
     private final Listener listener;
+    private final LongSupplier rest;
     private long pause = LEAST_PAUSE_MILLISECONDS;
     private boolean lost;
     private boolean stopped;
@@ -43,13 +48,21 @@
         void onChange(StoredRow row);
     }
 
+    /**
+     * Creates a watch that has not begun.
+     *
+     * @param rest milliseconds between a change and the next question, so that changes that come
+     *     together cost one call
+     */
     public TableWatch(
             String table,
             RowStore store,
             Timers timers,
             RandomGenerator random,
             EventLog log,
-            Listener listener) {
+            Listener listener,
+            LongSupplier rest) {
+        this.rest = rest;
         this.table = table;
         this.store = store;
         this.timers = timers;
@@ -93,7 +106,21 @@
             return;
         }
         listener.onSnapshot(rows);
-        watch(page.version());
+        long milliseconds = Math.min(rest.getAsLong(), GREATEST_FIRST_REST_MILLISECONDS);
+        if (milliseconds > 0) {
+            timers.after(milliseconds, () -> watch(page.version()));
+        } else {
+            watch(page.version());
+        }
+    }
+
+    private void afterRest(RowPage page, Runnable next) {
+        long milliseconds = page.rows().isEmpty() ? 0 : rest.getAsLong();
+        if (milliseconds > 0) {
+            timers.after(milliseconds, next);
+        } else {
+            next.run();
+        }
     }
 
     private void watch(long version) {
@@ -108,7 +135,8 @@
                             } else {
                                 onHeard();
                                 page.rows().forEach(listener::onChange);
-                                watch(Math.max(version, page.version()));
+                                long next = Math.max(version, page.version());
+                                afterRest(page, () -> watch(next));
                             }
                         });
     }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/link/OutgoingLink.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/OutgoingLink.java
@@ -205,9 +205,7 @@
 
     @Override
     public void send(FleetNews news) {
-        if (isUp()) {
-            channel.writeAndFlush(LinkFrame.newBuilder().setFleetNews(news).build());
-        }
+        writeOrWait(LinkFrame.newBuilder().setFleetNews(news).build());
     }
 
     @Override
