--- a/core/src/main/java/org/damaskmoor/core/waiting/WaitingRoom.java
+++ b/core/src/main/java/org/damaskmoor/core/waiting/WaitingRoom.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
+import java.util.NavigableMap;
+import java.util.TreeMap;
 
 /**
  * Calls that wait beside one upstream for a slot; answers bursts that are longer than the slots and
@@ -37,19 +39,32 @@
     private static final int MOST_WAITING_PER_SLOT = 4;
 
     /** A call that will miss its goal may wait for this part of what is left to its deadline. */
-    private static final double LATE_WAIT_SHARE = 0.3;
+    private static final double LATE_WAIT_SHARE = 0.15;
+
+    /** With so many waiting for each slot, calls that will miss their goal are not kept. */
+    private static final double PRESSURE_PER_SLOT = 0.5;
+
+    /** Weight of one call in the share of work that is more urgent. */
+    private static final double URGENCY_NEWS_WEIGHT = 0.03;
+
+    /** Urgent work delays the others no more than if it took this share of the slots. */
+    private static final double MOST_URGENT_SHARE = 0.8;
 
     /** A call that takes no more than this part of the mean service time is a short one. */
     private static final double SHORT_PART = 0.35;
 
     /** Least part of its usual time that a call needs before its deadline to be worth running. */
-    private static final double LEAST_WORK_SHARE = 0.5;
+    public static final double LEAST_WORK_SHARE = 0.8;
 
+    private static final int SHORT = 0;
+    private static final int REACHES_GOAL = 1;
+    private static final int MISSES_GOAL = 2;
     private static final long LEAST_RETRY_AFTER_MILLISECONDS = 50;
     private static final long MOST_RETRY_AFTER_MILLISECONDS = 3000;
 
     private final List<WaitingCall<T>> waiting = new ArrayList<>();
     private final List<T> displaced = new ArrayList<>();
+    private final NavigableMap<Integer, Double> shareByPriority = new TreeMap<>();
     private int limit = 1;
     private int running;
     private double serviceMilliseconds = FIRST_SERVICE_MILLISECONDS;
@@ -93,6 +108,7 @@
         }
         if (running < limit && waiting.isEmpty() && mayStart) {
             running++;
+            countUrgency(call.priority());
             return Verdict.START;
         }
         double service = call.usualMilliseconds() + delayMilliseconds;
@@ -100,6 +116,7 @@
         boolean worthWaiting =
                 reachesGoal
                         || (call.lastChoice()
+                                && (!isUnderPressure() || rank(call, now) == SHORT)
                                 && wait <= LATE_WAIT_SHARE * (call.deadlineAt() - now)
                                 && now + wait + service <= call.deadlineAt());
         if (!worthWaiting || !makeRoom(call)) {
@@ -122,16 +139,23 @@
         }
         waiting.remove(best);
         running++;
+        countUrgency(best.priority());
         return best.handle();
     }
 
-    /** Takes out the calls that can no longer be served in time. */
+    /**
+     * Takes out the calls that can no longer be served in time, and under pressure those that will
+     * miss their goal: they would hold up others that can still reach theirs.
+     */
     public List<T> hopeless(long now) {
         List<T> hopeless = List.of();
         Iterator<WaitingCall<T>> calls = waiting.iterator();
         while (calls.hasNext()) {
             WaitingCall<T> call = calls.next();
-            if (now + LEAST_WORK_SHARE * call.usualMilliseconds() >= call.deadlineAt()) {
+            double usual = call.usualMilliseconds();
+            boolean tooLate = now + LEAST_WORK_SHARE * usual >= call.deadlineAt();
+            boolean missesGoal = rank(call, now) == MISSES_GOAL && isUnderPressure();
+            if (tooLate || missesGoal) {
                 calls.remove();
                 hopeless = hopeless.isEmpty() ? new ArrayList<>() : hopeless;
                 hopeless.add(call.handle());
@@ -186,7 +210,26 @@
                 ahead++;
             }
         }
-        return Math.max(0, ahead) * serviceMilliseconds / limit;
+        double urgent = Math.min(MOST_URGENT_SHARE, urgentShare(coming.priority()));
+        return Math.max(0, ahead) * serviceMilliseconds / limit / (1 - urgent);
+    }
+
+    /** Part of recent calls that were more urgent: their like will go before a waiting call. */
+    private double urgentShare(int priority) {
+        double share = 0;
+        for (var entry : shareByPriority.headMap(priority).entrySet()) {
+            share += entry.getValue();
+        }
+        return share;
+    }
+
+    private void countUrgency(int priority) {
+        shareByPriority.replaceAll((known, share) -> share * (1 - URGENCY_NEWS_WEIGHT));
+        shareByPriority.merge(priority, URGENCY_NEWS_WEIGHT, Double::sum);
+    }
+
+    private boolean isUnderPressure() {
+        return waiting.size() >= PRESSURE_PER_SLOT * limit;
     }
 
     private boolean makeRoom(WaitingCall<T> coming) {
@@ -221,9 +264,9 @@
     private int rank(WaitingCall<T> call, long now) {
         double usual = call.usualMilliseconds();
         if (usual > 0 && usual <= SHORT_PART * serviceMilliseconds) {
-            return 0;
+            return SHORT;
         }
-        return now + usual <= call.goalAt() ? 1 : 2;
+        return now + usual <= call.goalAt() ? REACHES_GOAL : MISSES_GOAL;
     }
 
     private static long retryAfter(double milliseconds) {
--- a/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
@@ -259,9 +259,7 @@
         callers.announceClose();
         boolean upstreamGone = target.register().isLeaving();
         CompletableFuture<Void> left =
-                upstreamGone
-                        ? ownRecord.leave()
-                        : CompletableFuture.completedFuture(null);
+                upstreamGone ? ownRecord.leave() : CompletableFuture.completedFuture(null);
         return stop.run(
                         entry::refuseNew,
                         () -> left.isDone() && callers.isIdle() && target.isIdle())
