Keep what waits: only calls that come under pressure and will miss their goal are refused

Change: the share of urgent work counts only for taking a late call, not for sending back; what waits is kept until its deadline can't be met.

--- a/core/src/main/java/org/damaskmoor/core/waiting/WaitingRoom.java
+++ b/core/src/main/java/org/damaskmoor/core/waiting/WaitingRoom.java
@@ -41,7 +41,7 @@
     /** A call that will miss its goal may wait for this part of what is left to its deadline. */
     private static final double LATE_WAIT_SHARE = 0.15;
 
-    /** With so many waiting for each slot, calls that will miss their goal are not kept. */
+    /** With so many waiting for each slot, calls that will miss their goal are not taken. */
     private static final double PRESSURE_PER_SLOT = 0.5;
 
     /** Weight of one call in the share of work that is more urgent. */
@@ -112,6 +112,8 @@
             return Verdict.START;
         }
         double service = call.usualMilliseconds() + delayMilliseconds;
+        double urgent = Math.min(MOST_URGENT_SHARE, urgentShare(call.priority()));
+        wait = wait / (1 - urgent);
         boolean reachesGoal = now + wait + service <= call.goalAt();
         boolean worthWaiting =
                 reachesGoal
@@ -143,10 +145,7 @@
         return best.handle();
     }
 
-    /**
-     * Takes out the calls that can no longer be served in time, and under pressure those that will
-     * miss their goal: they would hold up others that can still reach theirs.
-     */
+    /** Takes out the calls that can no longer be served in time. */
     public List<T> hopeless(long now) {
         List<T> hopeless = List.of();
         Iterator<WaitingCall<T>> calls = waiting.iterator();
@@ -154,8 +153,7 @@
             WaitingCall<T> call = calls.next();
             double usual = call.usualMilliseconds();
             boolean tooLate = now + LEAST_WORK_SHARE * usual >= call.deadlineAt();
-            boolean missesGoal = rank(call, now) == MISSES_GOAL && isUnderPressure();
-            if (tooLate || missesGoal) {
+            if (tooLate) {
                 calls.remove();
                 hopeless = hopeless.isEmpty() ? new ArrayList<>() : hopeless;
                 hopeless.add(call.handle());
@@ -210,8 +208,7 @@
                 ahead++;
             }
         }
-        double urgent = Math.min(MOST_URGENT_SHARE, urgentShare(coming.priority()));
-        return Math.max(0, ahead) * serviceMilliseconds / limit / (1 - urgent);
+        return Math.max(0, ahead) * serviceMilliseconds / limit;
     }
 
     /** Part of recent calls that were more urgent: their like will go before a waiting call. */
