--- /dev/null
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/NodePorts.java
@@ -0,0 +1,48 @@
+package org.damaskmoor.relay.internal;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.damaskmoor.relay.internal.caller.CallerServer;
+import org.damaskmoor.relay.internal.control.SmallHttpServer;
+import org.damaskmoor.relay.internal.link.LinkServer;
+
+/**
+ * The ports of a node. Immutable; its parts are confined to the event loop.
+ *
+ * @param announcements for the upstream
+ * @param links for other nodes
+ * @param readiness for the platform
+ * @param callers for callers
+ * @param metrics for counters, or empty
+ */
+record NodePorts(
+        SmallHttpServer announcements,
+        LinkServer links,
+        SmallHttpServer readiness,
+        CallerServer callers,
+        Optional<SmallHttpServer> metrics) {
+
+    /** Opens all of them, the one for callers last. */
+    CompletableFuture<Void> start() {
+        return announcements
+                .start()
+                .thenCompose(done -> links.start())
+                .thenCompose(done -> readiness.start())
+                .thenCompose(done -> callers.start())
+                .thenCompose(done -> startMetrics());
+    }
+
+    private CompletableFuture<Void> startMetrics() {
+        return metrics.map(SmallHttpServer::start)
+                .orElseGet(() -> CompletableFuture.completedFuture(null));
+    }
+
+    /** Closes all of them. */
+    void stop() {
+        callers.stop();
+        links.stop();
+        readiness.stop();
+        announcements.stop();
+        metrics.ifPresent(SmallHttpServer::stop);
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/OwnMember.java
@@ -0,0 +1,31 @@
+package org.damaskmoor.relay.internal;
+
+import org.damaskmoor.core.id.Incarnation;
+import org.damaskmoor.relay.RelaySettings;
+import org.damaskmoor.schema.link.FleetMember;
+
+/** Makes this node's own record; each has a greater revision. Confined to the event loop. */
+final class OwnMember {
+    private final RelaySettings settings;
+    private final Incarnation incarnation;
+    private long revision;
+
+    OwnMember(RelaySettings settings, Incarnation incarnation) {
+        this.settings = settings;
+        this.incarnation = incarnation;
+    }
+
+    FleetMember record(String service, int slots) {
+        revision++;
+        return FleetMember.newBuilder()
+                .setNodeId(settings.node().value())
+                .setIncarnation(incarnation.value())
+                .setRevision(revision)
+                .setAddress(settings.links().getHostString() + ":" + settings.links().getPort())
+                .setDataCentre(settings.dataCentre().value())
+                .setRegion(settings.region().value())
+                .setService(service)
+                .setSlots(slots)
+                .build();
+    }
+}
--- a/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
@@ -1,8 +1,8 @@
 package org.damaskmoor.relay.internal;
 
 import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
@@ -21,7 +21,6 @@
 import org.damaskmoor.platform.machines.ConfigurationDecoder;
 import org.damaskmoor.platform.machines.HttpRowStore;
 import org.damaskmoor.platform.machines.RowStore;
-import org.damaskmoor.platform.machines.StoredRow;
 import org.damaskmoor.relay.RelaySettings;
 import org.damaskmoor.relay.internal.caller.CallerServer;
 import org.damaskmoor.relay.internal.control.AnnouncementPort;
@@ -32,7 +31,6 @@
 import org.damaskmoor.relay.internal.entry.RetryBudgets;
 import org.damaskmoor.relay.internal.fleet.ConfigurationHolder;
 import org.damaskmoor.relay.internal.fleet.FleetDirectory;
-import org.damaskmoor.relay.internal.fleet.FleetTarget;
 import org.damaskmoor.relay.internal.fleet.OwnRecord;
 import org.damaskmoor.relay.internal.fleet.TableWatch;
 import org.damaskmoor.relay.internal.link.EntryName;
@@ -43,7 +41,6 @@
 import org.damaskmoor.relay.internal.target.TargetDesk;
 import org.damaskmoor.relay.internal.time.Timers;
 import org.damaskmoor.schema.gossip.QuarantineRecord;
-import org.damaskmoor.schema.link.FleetMember;
 import org.damaskmoor.schema.link.FleetNews;
 import org.damaskmoor.schema.link.LinkHello;
 import org.damaskmoor.schema.link.TargetLoad;
@@ -66,12 +63,6 @@
     private static final int LEDGER_FENCES = 1024;
     private static final long TICK_MILLISECONDS = 1000;
 
-    /** Changes of members within this time cost one call to the store. */
-    private static final long READER_REST_MILLISECONDS = 400;
-
-    /** How long a node that hears of members from its region's readers leaves the store alone. */
-    private static final long OTHERS_REST_MILLISECONDS = 8000;
-
     /** Time for the last replies to be written before connections are closed. */
     private static final long LAST_REPLIES_MILLISECONDS = 50;
 
@@ -92,13 +83,9 @@
     private final TableWatch configurationWatch;
     private final PeerNews peerNews;
     private final LinkDialer dialer;
-    private final LinkServer links;
-    private final CallerServer callers;
-    private final SmallHttpServer readiness;
-    private final SmallHttpServer announcements;
-    private final Optional<SmallHttpServer> metricsPort;
+    private final NodePorts ports;
+    private final OwnMember ownMember;
     private final GracefulStop stop;
-    private long revision;
 
     /** Creates a relay that is not started. */
     public RelayNode(RelaySettings settings, EventLoop loop, Timers timers, EventLog log) {
@@ -107,65 +94,18 @@
         this.log = log;
         this.self = settings.node();
         this.crashes = new CrashBoard(self, incarnation, timers);
-        this.target =
-                new TargetDesk(
-                        incarnation,
-                        new UpstreamRegister(settings.drainMilliseconds()),
-                        TargetLedger.bounded(
-                                incarnation,
-                                new LedgerLimits(
-                                        LEDGER_ENTRIES, LEDGER_ANSWER_BYTES, LEDGER_FENCES)),
-                        loop,
-                        settings.upstream(),
-                        timers,
-                        log,
-                        new NodeTargetEvents(
-                                this::onUpstreamChanged,
-                                this::statusPath,
-                                () -> entry().lastFailureAt(),
-                                crashes,
-                                this::tellCrashes),
-                        settings.statusChecksPerSecond());
+        this.ownMember = new OwnMember(settings, incarnation);
+        this.target = targetDesk(loop);
         this.dialer = new LinkDialer(loop, timers, self, incarnation, this::configurationVersion);
-        NodeLinkListener linkListener = new NodeLinkListener(this::entry, this::fleet, this::merge);
-        this.fleet =
-                new FleetDirectory(
-                        self,
-                        settings.region(),
-                        settings.dataCentre(),
-                        (node, address) -> dialer.link(node, address, linkListener),
-                        timers,
-                        log);
-        this.entry =
-                new EntryDesk(
-                        self,
-                        incarnation,
-                        new EntryContext(
-                                settings.service(),
-                                fleet,
-                                new TargetChooser(random),
-                                new UsualWork(),
-                                new RetryBudgets(
-                                        settings.retryRatio(),
-                                        settings.retrySlack(),
-                                        settings.retryWindowMilliseconds()),
-                                timers,
-                                random,
-                                log,
-                                metrics),
-                        crashes);
+        this.fleet = directory();
+        this.entry = entryDesk();
         this.configuration = new ConfigurationHolder(log, this::onConfiguration);
         RowStore store = new HttpRowStore(loop, settings.store());
         this.ownRecord = new OwnRecord(self, store, timers, random, log);
+        MemberRows members = new MemberRows(self, fleet, ownRecord, random);
         this.memberWatch =
                 new TableWatch(
-                        FleetDirectory.TABLE,
-                        store,
-                        timers,
-                        random,
-                        log,
-                        new MemberListener(),
-                        this::memberRest);
+                        FleetDirectory.TABLE, store, timers, random, log, members, members::rest);
         this.configurationWatch =
                 new TableWatch(
                         ConfigurationDecoder.TABLE,
@@ -177,12 +117,66 @@
                         () -> 0);
         this.peerNews =
                 new PeerNews(fleet, configuration, crashes, this::isStoreLost, timers, random);
-        this.links =
-                new LinkServer(
-                        loop,
-                        settings.links(),
-                        new NodeCallReceiver(target, this::greeting, peerNews::news, this::merge));
-        this.callers =
+        this.ports = ports(loop);
+        this.stop = new GracefulStop(timers, settings.stopMilliseconds());
+        metrics.gauge("open-requests", entry::openRequests);
+        metrics.gauge("members", () -> fleet.all().size());
+        metrics.gauge("configuration-version", this::configurationVersion);
+    }
+
+    private TargetDesk targetDesk(EventLoop loop) {
+        return new TargetDesk(
+                incarnation,
+                new UpstreamRegister(settings.drainMilliseconds()),
+                TargetLedger.bounded(
+                        incarnation,
+                        new LedgerLimits(LEDGER_ENTRIES, LEDGER_ANSWER_BYTES, LEDGER_FENCES)),
+                loop,
+                settings.upstream(),
+                timers,
+                log,
+                new NodeTargetEvents(
+                        this::onUpstreamChanged,
+                        this::statusPath,
+                        () -> entry().lastFailureAt(),
+                        crashes,
+                        this::tellCrashes),
+                settings.statusChecksPerSecond());
+    }
+
+    private FleetDirectory directory() {
+        NodeLinkListener listener = new NodeLinkListener(this::entry, this::fleet, this::merge);
+        return new FleetDirectory(
+                self,
+                settings.region(),
+                settings.dataCentre(),
+                (node, address) -> dialer.link(node, address, listener),
+                timers,
+                log);
+    }
+
+    private EntryDesk entryDesk() {
+        EntryContext context =
+                new EntryContext(
+                        settings.service(),
+                        fleet,
+                        new TargetChooser(random),
+                        new UsualWork(),
+                        new RetryBudgets(
+                                settings.retryRatio(),
+                                settings.retrySlack(),
+                                settings.retryWindowMilliseconds()),
+                        timers,
+                        random,
+                        log,
+                        metrics);
+        return new EntryDesk(self, incarnation, context, crashes);
+    }
+
+    private NodePorts ports(EventLoop loop) {
+        NodeCallReceiver receiver =
+                new NodeCallReceiver(target, this::greeting, peerNews::news, this::merge);
+        CallerServer callers =
                 new CallerServer(
                         loop,
                         settings.callers(),
@@ -190,24 +184,18 @@
                         this::callerLimits,
                         entry,
                         status -> metrics.count("malformed", Integer.toString(status)));
-        this.readiness =
+        return new NodePorts(
                 new SmallHttpServer(
-                        loop, settings.readiness(), (method, path, body) -> readiness(path));
-        this.announcements =
+                        loop, settings.announcements(), new AnnouncementPort(target, log)),
+                new LinkServer(loop, settings.links(), receiver),
                 new SmallHttpServer(
-                        loop, settings.announcements(), new AnnouncementPort(target, log));
-        this.metricsPort =
-                settings.metrics()
-                        .map(
-                                address ->
-                                        new SmallHttpServer(
-                                                loop,
-                                                address,
-                                                (method, path, body) -> metrics(path)));
-        this.stop = new GracefulStop(timers, settings.stopMilliseconds());
-        metrics.gauge("open-requests", entry::openRequests);
-        metrics.gauge("members", () -> fleet.all().size());
-        metrics.gauge("configuration-version", this::configurationVersion);
+                        loop, settings.readiness(), (method, path, body) -> readiness(path)),
+                callers,
+                settings.metrics().map(address -> metricsPort(loop, address)));
+    }
+
+    private SmallHttpServer metricsPort(EventLoop loop, InetSocketAddress address) {
+        return new SmallHttpServer(loop, address, (method, path, body) -> metrics(path));
     }
 
     /** Opens all ports and begins to read the store; completes when the ports are open. */
@@ -215,20 +203,8 @@
         LocalLink local =
                 new LocalLink(
                         new EntryName(self, incarnation), target, entry.outcomes(self), timers);
-        fleet.addSelf(ownMember(settings.service().value(), 0), local);
-        return announcements
-                .start()
-                .thenCompose(done -> links.start())
-                .thenCompose(done -> readiness.start())
-                .thenCompose(done -> callers.start())
-                .thenCompose(done -> startMetrics())
-                .thenRun(this::begin);
-    }
-
-    private CompletableFuture<Void> startMetrics() {
-        return metricsPort
-                .map(SmallHttpServer::start)
-                .orElseGet(() -> CompletableFuture.completedFuture(null));
+        fleet.addSelf(ownMember.record(settings.service().value(), 0), local);
+        return ports.start().thenRun(this::begin);
     }
 
     private void begin() {
@@ -256,13 +232,13 @@
     public CompletableFuture<Void> stop() {
         log.event("node-stopping").with("node", self).with("open", entry.openRequests()).write();
         target.stop();
-        callers.announceClose();
+        ports.callers().announceClose();
         boolean upstreamGone = target.register().isLeaving();
         CompletableFuture<Void> left =
                 upstreamGone ? ownRecord.leave() : CompletableFuture.completedFuture(null);
         return stop.run(
                         entry::refuseNew,
-                        () -> left.isDone() && callers.isIdle() && target.isIdle())
+                        () -> left.isDone() && ports.callers().isIdle() && target.isIdle())
                 .thenRun(entry::endAll)
                 .thenCompose(done -> laterReplies())
                 .thenRun(this::close);
@@ -278,11 +254,7 @@
     private void close() {
         memberWatch.stop();
         configurationWatch.stop();
-        callers.stop();
-        links.stop();
-        readiness.stop();
-        announcements.stop();
-        metricsPort.ifPresent(SmallHttpServer::stop);
+        ports.stop();
         log.event("node-stopped").with("node", self).write();
     }
 
@@ -304,37 +276,17 @@
 
     private void onUpstreamChanged() {
         TargetLoad load = target.load();
-        links.broadcast(load);
+        ports.links().broadcast(load);
         fleet.find(self).ifPresent(own -> own.hear(load, timers.now()));
         target.register().current().ifPresent(this::record);
     }
 
     private void record(UpstreamAnnouncement upstream) {
         if (!target.register().isLeaving()) {
-            ownRecord.want(ownMember(upstream.service().value(), upstream.slots()));
+            ownRecord.want(ownMember.record(upstream.service().value(), upstream.slots()));
         }
     }
 
-    private FleetMember ownMember(String service, int slots) {
-        revision++;
-        return FleetMember.newBuilder()
-                .setNodeId(self.value())
-                .setIncarnation(incarnation.value())
-                .setRevision(revision)
-                .setAddress(settings.links().getHostString() + ":" + settings.links().getPort())
-                .setDataCentre(settings.dataCentre().value())
-                .setRegion(settings.region().value())
-                .setService(service)
-                .setSlots(slots)
-                .build();
-    }
-
-    /** Readers of a region ask again soon; the others hear of changes from them. */
-    private long memberRest() {
-        long rest = fleet.isReader() ? READER_REST_MILLISECONDS : OTHERS_REST_MILLISECONDS;
-        return rest / 2 + random.nextLong(rest);
-    }
-
     private LinkHello greeting() {
         LinkHello.Builder hello =
                 LinkHello.newBuilder()
@@ -393,38 +345,4 @@
     private FleetDirectory fleet() {
         return fleet;
     }
-
-    /** Tells the store's rows to the directory, and the own row to its writer. */
-    private final class MemberListener implements TableWatch.Listener {
-        @Override
-        public void onSnapshot(List<StoredRow> rows) {
-            fleet.onSnapshot(rows);
-            Optional<StoredRow> own =
-                    rows.stream().filter(row -> row.key().equals(self.value())).findFirst();
-            own.ifPresentOrElse(ownRecord::onStored, ownRecord::onNotStored);
-        }
-
-        @Override
-        public void onChange(StoredRow row) {
-            fleet.onChange(row);
-            if (row.key().equals(self.value())) {
-                ownRecord.onStored(row);
-            } else if (fleet.isReader()) {
-                tell(row);
-            }
-        }
-
-        private void tell(StoredRow row) {
-            Optional<FleetMember> known =
-                    row.removed()
-                            ? Optional.of(
-                                    FleetMember.newBuilder()
-                                            .setNodeId(row.key())
-                                            .setIncarnation(Long.MAX_VALUE)
-                                            .setDeparted(true)
-                                            .build())
-                            : fleet.find(new NodeId(row.key())).map(FleetTarget::member);
-            known.ifPresent(fleet::tellRegion);
-        }
-    }
 }
--- /dev/null
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/CallFrames.java
@@ -0,0 +1,76 @@
+package org.damaskmoor.relay.internal.entry;
+
+import org.damaskmoor.core.id.ServiceName;
+import org.damaskmoor.core.placement.TargetChooser;
+import org.damaskmoor.core.routes.Route;
+import org.damaskmoor.relay.internal.caller.CallerRequest;
+import org.damaskmoor.relay.internal.fleet.FleetTarget;
+import org.damaskmoor.schema.link.ForwardedCall;
+
+/** Makes the calls that a request sends to targets. Confined to the event loop. */
+final class CallFrames {
+    /** Bound on what is told of the spare time; longer than any wait at a target. */
+    private static final double MOST_SPARE_MILLISECONDS = 60_000;
+
+    private static final double PERCENT = 100;
+
+    private final long sequence;
+    private final CallerRequest request;
+    private final Route route;
+    private final ServiceName service;
+    private final EntryContext context;
+    private final long limitAt;
+
+    CallFrames(
+            long sequence,
+            CallerRequest request,
+            Route route,
+            ServiceName service,
+            EntryContext context,
+            long limitAt) {
+        this.sequence = sequence;
+        this.request = request;
+        this.route = route;
+        this.service = service;
+        this.context = context;
+        this.limitAt = limitAt;
+    }
+
+    /** Until when the answer has its full worth. */
+    long goalAt() {
+        return route.goalMilliseconds() > 0
+                ? request.arrivedAt() + route.goalMilliseconds()
+                : limitAt;
+    }
+
+    ForwardedCall call(
+            int attempt,
+            TargetChooser.Choice<FleetTarget> choice,
+            boolean lastChoice,
+            boolean repeated) {
+        long now = context.timers().now();
+        double slowness = choice.target().estimate().steadySlowness();
+        double spare = Math.min(MOST_SPARE_MILLISECONDS, choice.spareMilliseconds());
+        double usual = context.usualWork().milliseconds(route.name());
+        return ForwardedCall.newBuilder()
+                .setSequence(sequence)
+                .setAttempt(attempt)
+                .setService(service.value())
+                .setMethod(request.method())
+                .setTarget(request.target())
+                .addAllHeaders(request.headers())
+                .setBody(request.body())
+                .setCallerRequestId(request.id())
+                .setRemainingMilliseconds((int) Math.max(1, limitAt - now))
+                .setGoalMilliseconds((int) Math.max(0, goalAt() - now))
+                .setPriority(route.priority())
+                .setNonIdempotent(!route.idempotent())
+                .setCallerService(context.service().value())
+                .setUsualMilliseconds((int) Math.round(usual))
+                .setLastChoice(lastChoice)
+                .setExpectedSlownessPercent((int) Math.round(slowness * PERCENT))
+                .setSpareMilliseconds((int) spare)
+                .setRepeated(repeated)
+                .build();
+    }
+}
--- a/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
@@ -13,7 +13,6 @@
 import org.damaskmoor.core.id.ServiceName;
 import org.damaskmoor.core.id.TargetId;
 import org.damaskmoor.core.once.AttemptId;
-import org.damaskmoor.core.once.CallStep;
 import org.damaskmoor.core.once.EntryAction;
 import org.damaskmoor.core.once.EntryCall;
 import org.damaskmoor.core.placement.TargetChooser;
@@ -29,7 +28,6 @@
 import org.damaskmoor.schema.link.CallSeal;
 import org.damaskmoor.schema.link.CallSealed;
 import org.damaskmoor.schema.link.ForwardedAnswer;
-import org.damaskmoor.schema.link.ForwardedCall;
 import org.damaskmoor.schema.link.ForwardedFailure;
 import org.damaskmoor.schema.link.ForwardedRefusal;
 import org.damaskmoor.schema.mesh.RefusalReason;
@@ -60,9 +58,6 @@
     /** When a caller may come again if no target has told when room is expected. */
     private static final long USUAL_RETRY_AFTER_MILLISECONDS = 250;
 
-    /** Bound on what is told of the spare time; longer than any wait at a target. */
-    private static final double MOST_SPARE_MILLISECONDS = 60_000;
-
     /** Least time to the goal that placement goes by, once the goal has passed. */
     private static final double LEAST_GOAL_MILLISECONDS = 50;
 
@@ -71,7 +66,6 @@
 
     private static final double BYTES_PER_KILOBYTE = 1000;
     private static final int FIRST_SERVER_ERROR = 500;
-    private static final int BAD_GATEWAY = 502;
     private static final int GATEWAY_TIMEOUT = 504;
     private static final double PERCENT = 100;
 
@@ -80,7 +74,8 @@
     private final Route route;
     private final ServiceName service;
     private final EntryContext context;
-    private final Consumer<CallerReply> reply;
+    private final ExchangeReplies replies;
+    private final CallFrames frames;
     private final Consumer<EntryExchange> finished;
     private final EntryCall call;
     private final FleetRetryBudget budget;
@@ -108,11 +103,12 @@
         this.route = route;
         this.service = service;
         this.context = context;
-        this.reply = reply;
+        this.replies = new ExchangeReplies(request, route, service, context, reply);
         this.finished = finished;
         this.call = EntryCall.of(id, !route.idempotent());
         this.budget = context.budgets().of(service);
         this.limitAt = request.arrivedAt() + patience();
+        this.frames = new CallFrames(id.sequence(), request, route, service, context, limitAt);
         this.deadlineTimer =
                 context.timers().after(limitAt - now(), () -> perform(call.deadline()));
     }
@@ -130,7 +126,8 @@
         budget.onRequest(now());
         double usual = context.usualWork().milliseconds(route.name());
         if (limitAt - now() < WaitingRoom.LEAST_WORK_SHARE * usual) {
-            replyNotRun(RefusalReason.DEADLINE_TOO_SHORT);
+            replies.notRun(
+                    RefusalReason.DEADLINE_TOO_SHORT, retryAfterMilliseconds, tried, sentBack);
             call.callerGone();
             release();
             return;
@@ -156,7 +153,10 @@
                             route.name(),
                             received.getUpstreamMilliseconds(),
                             received.getSlownessPercent() / PERCENT,
-                            kilobytes(received));
+                            (received.getSerializedSize()
+                                            + request.body().size()
+                                            + USUAL_HEAD_BYTES)
+                                    / BYTES_PER_KILOBYTE);
         }
         answer = received;
         boolean triedAgain =
@@ -169,11 +169,6 @@
         perform(triedAgain ? call.failed(attemptId(attempt)) : call.answered(attemptId(attempt)));
     }
 
-    private double kilobytes(ForwardedAnswer received) {
-        int bytes = received.getSerializedSize() + request.body().size() + USUAL_HEAD_BYTES;
-        return bytes / BYTES_PER_KILOBYTE;
-    }
-
     void refused(ForwardedRefusal received) {
         SentAttempt attempt = end(received.getAttempt());
         if (attempt == null) {
@@ -269,9 +264,9 @@
         } else if (action instanceof EntryAction.Cancel cancel) {
             cancel(cancel.attempt());
         } else if (action instanceof EntryAction.AnswerCaller) {
-            replyWithAnswer();
+            replies.answer(answer, tried, sentBack);
         } else if (action instanceof EntryAction.RefuseCaller refuse) {
-            replyNotRun(refuse.reason());
+            replies.notRun(refuse.reason(), retryAfterMilliseconds, tried, sentBack);
         } else if (action instanceof EntryAction.UnknownToCaller unknown) {
             replyUnknown(unknown);
         }
@@ -301,7 +296,7 @@
             tried.add(target.node());
             boolean repeated = atUpstream > 0;
             atUpstream++;
-            target.link().send(frame(attempt, choice, lastChoice, repeated));
+            target.link().send(frames.call(attempt.attempt(), choice, lastChoice, repeated));
         }
     }
 
@@ -336,52 +331,13 @@
     }
 
     private WorkView work() {
-        long goalAt =
-                route.goalMilliseconds() > 0
-                        ? request.arrivedAt() + route.goalMilliseconds()
-                        : limitAt;
-        double goal = Math.max(LEAST_GOAL_MILLISECONDS, (double) (goalAt - now()));
+        double goal = Math.max(LEAST_GOAL_MILLISECONDS, (double) (frames.goalAt() - now()));
         return new WorkView(
                 context.usualWork().milliseconds(route.name()),
                 goal,
                 context.usualWork().kilobytes(route.name()));
     }
 
-    private ForwardedCall frame(
-            AttemptId attempt,
-            TargetChooser.Choice<FleetTarget> choice,
-            boolean lastChoice,
-            boolean repeated) {
-        long now = now();
-        double slowness = choice.target().estimate().steadySlowness();
-        double spare = Math.min(MOST_SPARE_MILLISECONDS, choice.spareMilliseconds());
-        long goalAt =
-                route.goalMilliseconds() > 0
-                        ? request.arrivedAt() + route.goalMilliseconds()
-                        : limitAt;
-        return ForwardedCall.newBuilder()
-                .setSequence(id.sequence())
-                .setAttempt(attempt.attempt())
-                .setService(service.value())
-                .setMethod(request.method())
-                .setTarget(request.target())
-                .addAllHeaders(request.headers())
-                .setBody(request.body())
-                .setCallerRequestId(request.id())
-                .setRemainingMilliseconds((int) Math.max(1, limitAt - now))
-                .setGoalMilliseconds((int) Math.max(0, goalAt - now))
-                .setPriority(route.priority())
-                .setNonIdempotent(!route.idempotent())
-                .setCallerService(context.service().value())
-                .setUsualMilliseconds(
-                        (int) Math.round(context.usualWork().milliseconds(route.name())))
-                .setLastChoice(lastChoice)
-                .setExpectedSlownessPercent((int) Math.round(slowness * PERCENT))
-                .setSpareMilliseconds((int) spare)
-                .setRepeated(repeated)
-                .build();
-    }
-
     /** Only a call that may not be repeated is worth the wait for word about it. */
     private void seal(AttemptId attempt) {
         SentAttempt sent = attempts.get(attempt.attempt());
@@ -408,55 +364,12 @@
                 .send(CallCancel.newBuilder().setSequence(id.sequence()).build());
     }
 
-    private void replyWithAnswer() {
-        end(answer.getStatus(), "answered");
-        reply.accept(
-                new CallerReply(answer.getStatus(), answer.getHeadersList(), answer.getBody()));
-    }
-
-    private void replyNotRun(RefusalReason reason) {
-        end(503, reason.name());
-        context.metrics().count("refused", service.value() + "." + reason);
-        double jitter = 0.75 + 0.5 * context.random().nextDouble();
-        long retryAfter = Math.max(1, Math.round(retryAfterMilliseconds * jitter));
-        reply.accept(CallerReply.notRun(reason.name(), retryAfter));
-    }
-
     private void replyUnknown(EntryAction.UnknownToCaller unknown) {
         if (answer != null) {
-            replyWithAnswer();
-            return;
+            replies.answer(answer, tried, sentBack);
+        } else {
+            replies.unknown(unknown, tried, sentBack);
         }
-        boolean late = unknown.step() == CallStep.DEADLINE;
-        int status = late ? GATEWAY_TIMEOUT : BAD_GATEWAY;
-        end(status, unknown.step().wireName());
-        context.metrics().count("unknown", unknown.step().wireName());
-        reply.accept(
-                CallerReply.own(
-                        status,
-                        "It is unknown whether the request ran: "
-                                + unknown.step().wireName()
-                                + " at "
-                                + unknown.peer()
-                                + "."));
-    }
-
-    private void end(int status, String outcome) {
-        long took = now() - request.arrivedAt();
-        context.metrics().duration("request." + service.value(), took);
-        context.log()
-                .event("request-ended")
-                .with("request", request.id())
-                .with("route", route.name())
-                .with("service", service)
-                .with("status", status)
-                .with("outcome", outcome)
-                .with("attempts", attempts.size())
-                .with("sent_back", sentBack)
-                .with("took_ms", took)
-                .with("usual_ms", Math.round(context.usualWork().milliseconds(route.name())))
-                .with("targets", tried)
-                .write();
     }
 
     private void release() {
--- /dev/null
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/CallRunner.java
@@ -0,0 +1,174 @@
+package org.damaskmoor.relay.internal.target;
+
+import com.google.protobuf.ByteString;
+import java.util.concurrent.TimeUnit;
+import org.damaskmoor.core.once.HandOverResult;
+import org.damaskmoor.core.once.TargetLedger;
+import org.damaskmoor.core.upstream.UpstreamAnnouncement;
+import org.damaskmoor.core.upstream.UpstreamId;
+import org.damaskmoor.core.upstream.UpstreamRegister;
+import org.damaskmoor.core.waiting.SlowMoments;
+import org.damaskmoor.core.waiting.WaitingRoom;
+import org.damaskmoor.relay.internal.time.Timers;
+import org.damaskmoor.schema.link.ForwardedAnswer;
+import org.damaskmoor.schema.mesh.RefusalReason;
+
+/**
+ * Hands calls to the upstream and takes their outcomes.
+ *
+ * <p>Confined to the event loop. Invariants: only what the ledger permits is handed over; each call
+ * that was handed over leaves the room once, and is told one outcome.
+ */
+final class CallRunner {
+    /** How long after its deadline an upstream may still be about to answer. */
+    private static final long ANSWER_GRACE_MILLISECONDS = 150;
+
+    private static final int FIRST_SERVER_ERROR = 500;
+
+    private final OpenCalls open;
+    private final WaitingRoom<TargetCall> room;
+    private final TargetLedger ledger;
+    private final UpstreamRegister register;
+    private final UpstreamPool pool;
+    private final SpeedChecks speed;
+    private final UpstreamWatch watch;
+    private final TargetReplies replies;
+    private final FailureGauge failures;
+    private final TargetEvents events;
+    private final Timers timers;
+    private final Runnable startNext;
+    private final CallLimit limit = new CallLimit();
+
+    CallRunner(
+            OpenCalls open,
+            WaitingRoom<TargetCall> room,
+            TargetLedger ledger,
+            UpstreamRegister register,
+            UpstreamPool pool,
+            SpeedChecks speed,
+            UpstreamWatch watch,
+            TargetReplies replies,
+            FailureGauge failures,
+            TargetEvents events,
+            Timers timers,
+            Runnable startNext) {
+        this.open = open;
+        this.room = room;
+        this.ledger = ledger;
+        this.register = register;
+        this.pool = pool;
+        this.speed = speed;
+        this.watch = watch;
+        this.replies = replies;
+        this.failures = failures;
+        this.events = events;
+        this.timers = timers;
+        this.startNext = startNext;
+    }
+
+    /** How many calls may run at once now. */
+    int limit() {
+        int slots = register.current().map(UpstreamAnnouncement::slots).orElse(1);
+        return limit.at(slots, timers.now());
+    }
+
+    /** Hands over a call that the room has let go. */
+    void handOver(TargetCall call) {
+        long now = timers.now();
+        if (!register.mayRun(now)) {
+            room.abandoned();
+            open.refuse(call, RefusalReason.DRAINING, 0);
+            return;
+        }
+        if (ledger.handOver(call.id, TimeUnit.MILLISECONDS.toNanos(now)) != HandOverResult.RUN) {
+            room.abandoned();
+            replies.refused(call, RefusalReason.DEADLINE_PASSED, 0);
+            open.remove(call);
+            return;
+        }
+        call.startedAt = now;
+        SlowMoments slowness = speed.moments();
+        call.slownessAtStart = slowness.isKnown() ? slowness.last() : 0;
+        call.runningAtStart = room.running();
+        UpstreamId upstream = register.current().get().id();
+        call.sent =
+                pool.send(
+                        call.call, upstream, call.deadlineAt, outcome -> onOutcome(call, outcome));
+        call.deadlineTimer =
+                timers.after(
+                        call.deadlineAt + ANSWER_GRACE_MILLISECONDS - now,
+                        () -> onDeadlinePassed(call));
+    }
+
+    private void onOutcome(TargetCall call, UpstreamOutcome outcome) {
+        long now = timers.now();
+        call.deadlineTimer.cancel();
+        if (outcome instanceof UpstreamOutcome.Answered answered) {
+            answered.load().ifPresent(speed::hear);
+            onAnswered(call, answered, now);
+        } else if (outcome instanceof UpstreamOutcome.NotRun notRun) {
+            notRun.load().ifPresent(speed::hear);
+            onNotRun(call, notRun, now);
+        } else if (outcome instanceof UpstreamOutcome.Failed failed) {
+            onFailed(call, failed.detail(), now);
+        }
+        startNext.run();
+    }
+
+    private void onAnswered(TargetCall call, UpstreamOutcome.Answered answered, long now) {
+        long took = now - call.startedAt;
+        boolean failed = answered.status() >= FIRST_SERVER_ERROR;
+        failures.add(failed, now);
+        register.up();
+        room.ended((double) took);
+        if (!failed) {
+            limit.onAnswered(call, took);
+        }
+        events.answered(call.fingerprint());
+        boolean failedBelow = failed && events.failedSince(call.startedAt);
+        ForwardedAnswer answer = replies.answer(call, answered, took, failedBelow);
+        boolean kept = call.call.getNonIdempotent();
+        ledger.answered(call.id, kept ? answer.toByteString() : ByteString.EMPTY);
+        open.remove(call);
+        call.outcomes.answered(answer);
+    }
+
+    private void onNotRun(TargetCall call, UpstreamOutcome.NotRun notRun, long now) {
+        room.abandoned();
+        ledger.returned(call.id);
+        switch (notRun.cause()) {
+            case SHED -> {
+                limit.onShed(now);
+                room.limit(limit());
+                open.refuse(call, RefusalReason.OVERLOADED, room.retryAfterMilliseconds());
+            }
+            case OTHER_UPSTREAM -> {
+                watch.down("another upstream has the address");
+                open.refuse(call, RefusalReason.STALE_INCARNATION, 0);
+            }
+            default -> {
+                watch.down("no connection");
+                open.refuse(call, RefusalReason.UPSTREAM_UNREACHABLE, 0);
+            }
+        }
+    }
+
+    private void onFailed(TargetCall call, String detail, long now) {
+        room.abandoned();
+        failures.add(true, now);
+        ledger.failed(call.id);
+        open.remove(call);
+        replies.failed(call, detail);
+        watch.onFailure(call.fingerprint());
+    }
+
+    /** The upstream has not answered in time: it is not waited for any longer. */
+    private void onDeadlinePassed(TargetCall call) {
+        if (!open.holds(call) || !call.isRunning()) {
+            return;
+        }
+        call.sent.abandon();
+        onFailed(call, "no answer before the deadline", timers.now());
+        startNext.run();
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/OpenCalls.java
@@ -0,0 +1,70 @@
+package org.damaskmoor.relay.internal.target;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.damaskmoor.core.id.RequestId;
+import org.damaskmoor.core.once.TargetLedger;
+import org.damaskmoor.core.quarantine.RequestFingerprint;
+import org.damaskmoor.schema.mesh.RefusalReason;
+
+/**
+ * The calls at a target that have not ended. Confined to the event loop.
+ *
+ * <p>Invariant: a call that was refused has not been handed over, by the ledger's word.
+ */
+final class OpenCalls {
+    private final TargetLedger ledger;
+    private final TargetReplies replies;
+    private final Map<RequestId, TargetCall> calls = new HashMap<>();
+
+    OpenCalls(TargetLedger ledger, TargetReplies replies) {
+        this.ledger = ledger;
+        this.replies = replies;
+    }
+
+    void add(TargetCall call) {
+        calls.put(call.id, call);
+    }
+
+    boolean holds(TargetCall call) {
+        return calls.get(call.id) == call;
+    }
+
+    TargetCall get(RequestId id) {
+        return calls.get(id);
+    }
+
+    void remove(TargetCall call) {
+        calls.remove(call.id);
+    }
+
+    boolean isEmpty() {
+        return calls.isEmpty();
+    }
+
+    /** All of them, in a list of the caller's own. */
+    List<TargetCall> all() {
+        return new ArrayList<>(calls.values());
+    }
+
+    /** The requests that the upstream runs. */
+    Collection<RequestFingerprint> running() {
+        List<RequestFingerprint> running = new ArrayList<>();
+        for (TargetCall call : calls.values()) {
+            if (call.isRunning()) {
+                running.add(call.fingerprint());
+            }
+        }
+        return running;
+    }
+
+    /** Ends a call that was not handed over, and tells so. */
+    void refuse(TargetCall call, RefusalReason reason, long retryAfterMilliseconds) {
+        ledger.refuse(call.id);
+        remove(call);
+        replies.refused(call, reason, retryAfterMilliseconds);
+    }
+}
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetDesk.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetDesk.java
@@ -1,29 +1,22 @@
 package org.damaskmoor.relay.internal.target;
 
 import com.google.protobuf.ByteString;
-import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.Collection;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.damaskmoor.core.id.Incarnation;
 import org.damaskmoor.core.id.RequestId;
 import org.damaskmoor.core.once.AcceptanceResult;
 import org.damaskmoor.core.once.CallKey;
-import org.damaskmoor.core.once.HandOverResult;
 import org.damaskmoor.core.once.TargetLedger;
 import org.damaskmoor.core.quarantine.RequestFingerprint;
 import org.damaskmoor.core.upstream.UpstreamAnnouncement;
 import org.damaskmoor.core.upstream.UpstreamId;
-import org.damaskmoor.core.upstream.UpstreamLoad;
 import org.damaskmoor.core.upstream.UpstreamRegister;
 import org.damaskmoor.core.upstream.UpstreamRegister.Change;
-import org.damaskmoor.core.waiting.CrowdingCurve;
 import org.damaskmoor.core.waiting.SlowMoments;
 import org.damaskmoor.core.waiting.Verdict;
 import org.damaskmoor.core.waiting.WaitingRoom;
@@ -34,14 +27,10 @@
 import org.damaskmoor.schema.link.CallCancel;
 import org.damaskmoor.schema.link.CallSeal;
 import org.damaskmoor.schema.link.CallSealed;
-import org.damaskmoor.schema.link.ForwardedAnswer;
 import org.damaskmoor.schema.link.ForwardedCall;
-import org.damaskmoor.schema.link.ForwardedFailure;
-import org.damaskmoor.schema.link.ForwardedRefusal;
 import org.damaskmoor.schema.link.TargetLoad;
 import org.damaskmoor.schema.mesh.RefusalReason;
 import org.damaskmoor.schema.mesh.SealState;
-import org.damaskmoor.schema.mesh.UpstreamState;
 
 /**
  * The target's side of calls: decides on each with the load of this instant and hands it to the
@@ -55,43 +44,24 @@
     /** How long an ended call is remembered: longer than any link takes to be found lost. */
     private static final long REMEMBERED_MILLISECONDS = 30_000;
 
-    /** How long after its deadline an upstream may still be about to answer. */
-    private static final long ANSWER_GRACE_MILLISECONDS = 150;
-
     /** How often waiting calls are looked at while there are any. */
     private static final long LOOK_MILLISECONDS = 20;
 
-    /** How often an upstream that does not answer is tried. */
-    private static final long PROBE_MILLISECONDS = 300;
-
-    /** Time after which a shed call lets one more run again. */
-    private static final long SHED_MEMORY_MILLISECONDS = 1000;
-
-    private static final int FIRST_SERVER_ERROR = 500;
     private static final double PERCENT = 100;
-    private static final double PER_THOUSAND = 1000;
 
     private final Incarnation incarnation;
     private final UpstreamRegister register;
     private final TargetLedger ledger;
-    private final UpstreamPool pool;
     private final Timers timers;
     private final EventLog log;
     private final TargetEvents events;
-    private final RateBound checks;
+    private final SpeedChecks speed;
+    private final CallRunner runner;
+    private final LoadGauge gauge;
+    private final TargetReplies replies;
     private final WaitingRoom<TargetCall> room = new WaitingRoom<>();
-    private final Map<RequestId, TargetCall> open = new HashMap<>();
-    private final SlowMoments slowness = new SlowMoments();
-    private final List<TargetCall> unsure = new ArrayList<>();
-    private final FailureGauge failures = new FailureGauge();
-    private final CrowdingCurve crowding = new CrowdingCurve();
-    private final RecentFailures recentFailures = new RecentFailures();
+    private final OpenCalls open;
     private boolean looking;
-    private boolean probing;
-    private boolean checking;
-    private boolean stopping;
-    private int shed;
-    private long shedAt;
 
     public TargetDesk(
             Incarnation incarnation,
@@ -103,21 +73,46 @@
             EventLog log,
             TargetEvents events,
             double checksPerSecond) {
-        this.checks = new RateBound(checksPerSecond);
         this.incarnation = incarnation;
         this.register = register;
         this.ledger = ledger;
-        this.pool = new UpstreamPool(loop, upstream, timers);
         this.timers = timers;
         this.log = log;
         this.events = events;
+        FailureGauge failures = new FailureGauge();
+        this.gauge = new LoadGauge(register, room, failures);
+        this.replies = new TargetReplies(timers, log, this::load);
+        this.open = new OpenCalls(ledger, replies);
+        UpstreamPool pool = new UpstreamPool(loop, upstream, timers);
+        this.speed =
+                new SpeedChecks(
+                        pool,
+                        new RateBound(checksPerSecond),
+                        events,
+                        timers,
+                        this::offer,
+                        this::startNext);
+        this.runner =
+                new CallRunner(
+                        open,
+                        room,
+                        ledger,
+                        register,
+                        pool,
+                        speed,
+                        new UpstreamWatch(register, pool, timers, log, new Watched()),
+                        replies,
+                        failures,
+                        events,
+                        timers,
+                        this::startNext);
     }
 
     /** The upstream announced itself. */
     public void announce(UpstreamAnnouncement announcement) {
         long now = timers.now();
         Change change = register.announce(announcement, now);
-        room.limit(limit(now));
+        room.limit(runner.limit());
         if (change != Change.NONE) {
             log.event(change == Change.LEAVING ? "upstream-leaving" : "upstream-appeared")
                     .with("upstream", announcement.id())
@@ -129,7 +124,7 @@
             events.upstreamChanged();
         }
         if (change == Change.APPEARED) {
-            checkSpeed();
+            speed.ask();
         }
     }
 
@@ -143,7 +138,7 @@
 
     /** Takes no new call from now on. */
     public void stop() {
-        stopping = true;
+        gauge.stopping();
         events.upstreamChanged();
     }
 
@@ -176,62 +171,30 @@
                                 nanoseconds(now))
                         .result();
         switch (acceptance) {
-            case ACCEPTED -> admit(taken, now);
-            case FULL -> tellRefusal(taken, RefusalReason.NODE_BUSY, 0);
-            case DEADLINE_PASSED -> tellRefusal(taken, RefusalReason.DEADLINE_PASSED, 0);
-            case SEALED_ALREADY -> tellRefusal(taken, RefusalReason.SEALED_AFTER_SILENCE, 0);
-            default -> tellFailure(taken, "the call came twice");
+            case ACCEPTED -> admit(taken);
+            case FULL -> replies.refused(taken, RefusalReason.NODE_BUSY, 0);
+            case DEADLINE_PASSED -> replies.refused(taken, RefusalReason.DEADLINE_PASSED, 0);
+            case SEALED_ALREADY -> replies.refused(taken, RefusalReason.SEALED_AFTER_SILENCE, 0);
+            default -> replies.failed(taken, "the call came twice");
         }
     }
 
-    private void admit(TargetCall call, long now) {
-        open.put(call.id, call);
-        if (slowness.isKnown() && !slowness.isFresh(now) && checkSpeed()) {
-            unsure.add(call);
-        } else {
-            offer(call, now);
+    private void admit(TargetCall call) {
+        open.add(call);
+        if (register.isDown() || !speed.postpone(call)) {
+            offer(call);
         }
     }
 
-    /** Asks how fast the VM is at this instant; false when that can't be asked now. */
-    private boolean checkSpeed() {
-        if (checking) {
-            return true;
-        }
-        String path = events.statusPath();
-        long now = timers.now();
-        if (path.isEmpty() || register.isDown() || !checks.tryTake(now)) {
-            return false;
+    private void offer(TargetCall call) {
+        if (!open.holds(call)) {
+            return;
         }
-        checking = true;
-        pool.check(path, load -> onSpeed(load));
-        return true;
-    }
-
-    private void onSpeed(Optional<UpstreamLoad> load) {
-        checking = false;
         long now = timers.now();
-        load.ifPresent(told -> hear(told, now));
-        List<TargetCall> waited = List.copyOf(unsure);
-        unsure.clear();
-        for (TargetCall call : waited) {
-            if (open.get(call.id) == call) {
-                offer(call, now);
-            }
-        }
-        startNext();
-    }
-
-    private void hear(UpstreamLoad load, long now) {
-        if (load.slowness() > 0) {
-            slowness.hear(load.slowness(), now);
-        }
-    }
-
-    private void offer(TargetCall call, long now) {
+        SlowMoments slowness = speed.moments();
         RefusalReason unservable = unservable(call);
         if (unservable != null) {
-            refuse(call, unservable, 0);
+            open.refuse(call, unservable, 0);
             return;
         }
         boolean fresh = slowness.isFresh(now);
@@ -246,15 +209,15 @@
         room.takeDisplaced()
                 .forEach(
                         displaced ->
-                                refuse(
+                                open.refuse(
                                         displaced,
                                         RefusalReason.OVERLOADED,
                                         room.retryAfterMilliseconds()));
         switch (verdict.kind()) {
-            case START -> handOver(call);
+            case START -> runner.handOver(call);
             case WAIT -> look();
             case SEND_BACK ->
-                    refuse(call, RefusalReason.QUEUE_FULL, verdict.retryAfterMilliseconds());
+                    open.refuse(call, RefusalReason.QUEUE_FULL, verdict.retryAfterMilliseconds());
             default -> throw new IllegalStateException("unexpected " + verdict.kind());
         }
     }
@@ -267,7 +230,7 @@
         if (!register.current().get().service().value().equals(call.call.getService())) {
             return RefusalReason.STALE_INCARNATION;
         }
-        if (stopping || register.isLeaving()) {
+        if (gauge.isStopping() || register.isLeaving()) {
             return RefusalReason.DRAINING;
         }
         if (register.isDown()) {
@@ -276,149 +239,21 @@
         return events.isQuarantined(call.fingerprint()) ? RefusalReason.QUARANTINED : null;
     }
 
-    private void handOver(TargetCall call) {
-        long now = timers.now();
-        if (!register.mayRun(now)) {
-            room.abandoned();
-            refuse(call, RefusalReason.DRAINING, 0);
-            return;
-        }
-        if (ledger.handOver(call.id, nanoseconds(now)) != HandOverResult.RUN) {
-            room.abandoned();
-            tellRefusal(call, RefusalReason.DEADLINE_PASSED, 0);
-            open.remove(call.id);
-            return;
-        }
-        call.startedAt = now;
-        call.slownessAtStart = slowness.isKnown() ? slowness.last() : 0;
-        call.runningAtStart = room.running();
-        UpstreamId upstream = register.current().get().id();
-        call.sent =
-                pool.send(
-                        call.call, upstream, call.deadlineAt, outcome -> onOutcome(call, outcome));
-        call.deadlineTimer =
-                timers.after(
-                        call.deadlineAt + ANSWER_GRACE_MILLISECONDS - now,
-                        () -> onDeadlinePassed(call));
-    }
-
-    private void onOutcome(TargetCall call, UpstreamOutcome outcome) {
-        long now = timers.now();
-        call.deadlineTimer.cancel();
-        if (outcome instanceof UpstreamOutcome.Answered answered) {
-            answered.load().ifPresent(load -> hear(load, now));
-            onAnswered(call, answered, now);
-        } else if (outcome instanceof UpstreamOutcome.NotRun notRun) {
-            notRun.load().ifPresent(load -> hear(load, now));
-            onNotRun(call, notRun, now);
-        } else if (outcome instanceof UpstreamOutcome.Failed failed) {
-            onFailed(call, failed.detail(), now);
-        }
-        startNext();
-    }
-
-    private void onAnswered(TargetCall call, UpstreamOutcome.Answered answered, long now) {
-        long took = now - call.startedAt;
-        boolean failed = answered.status() >= FIRST_SERVER_ERROR;
-        failures.add(failed, now);
-        register.up();
-        room.ended((double) took);
-        if (!failed && call.call.getUsualMilliseconds() > 0 && call.slownessAtStart > 0) {
-            double usual = call.call.getUsualMilliseconds() * call.slownessAtStart;
-            crowding.answered(call.runningAtStart, took / usual);
-        }
-        events.answered(call.fingerprint());
-        log.event("call-answered")
-                .with("request", call.call.getCallerRequestId())
-                .with("status", answered.status())
-                .with("waited_ms", call.startedAt - call.arrivedAt)
-                .with("took_ms", took)
-                .with("usual_ms", call.call.getUsualMilliseconds())
-                .with("slowness", Math.round(call.slownessAtStart * PERCENT))
-                .with("slowness_after", Math.round(slowness.last() * PERCENT))
-                .with("running", call.runningAtStart)
-                .write();
-        ForwardedAnswer answer =
-                ForwardedAnswer.newBuilder()
-                        .setSequence(call.call.getSequence())
-                        .setAttempt(call.call.getAttempt())
-                        .setStatus(answered.status())
-                        .addAllHeaders(answered.headers())
-                        .setBody(answered.body())
-                        .setUpstreamMilliseconds((int) took)
-                        .setSlownessPercent((int) Math.round(call.slownessAtStart * PERCENT))
-                        .setFailedBelow(failed && events.failedSince(call.startedAt))
-                        .setLoad(load())
-                        .build();
-        boolean kept = call.call.getNonIdempotent();
-        ledger.answered(call.id, kept ? answer.toByteString() : ByteString.EMPTY);
-        open.remove(call.id);
-        call.outcomes.answered(answer);
-    }
-
-    private void onNotRun(TargetCall call, UpstreamOutcome.NotRun notRun, long now) {
-        room.abandoned();
-        ledger.returned(call.id);
-        switch (notRun.cause()) {
-            case SHED -> {
-                shed++;
-                shedAt = now;
-                room.limit(limit(now));
-                refuse(call, RefusalReason.OVERLOADED, room.retryAfterMilliseconds());
-            }
-            case OTHER_UPSTREAM -> {
-                upstreamDown("another upstream has the address");
-                refuse(call, RefusalReason.STALE_INCARNATION, 0);
-            }
-            default -> {
-                upstreamDown("no connection");
-                refuse(call, RefusalReason.UPSTREAM_UNREACHABLE, 0);
-            }
-        }
-    }
-
-    private void onFailed(TargetCall call, String detail, long now) {
-        room.abandoned();
-        failures.add(true, now);
-        ledger.failed(call.id);
-        open.remove(call.id);
-        log.event("call-failed")
-                .with("request", call.call.getCallerRequestId())
-                .with("step", "upstream")
-                .with("waited_ms", call.startedAt - call.arrivedAt)
-                .with("ran_ms", now - call.startedAt)
-                .with("detail", detail)
-                .write();
-        recentFailures.add(call.fingerprint(), now);
-        tellFailure(call, detail);
-        probeSoon();
-    }
-
-    /** The upstream has not answered in time: it is not waited for any longer. */
-    private void onDeadlinePassed(TargetCall call) {
-        if (open.get(call.id) != call || !call.isRunning()) {
-            return;
-        }
-        call.sent.abandon();
-        onFailed(call, "no answer before the deadline", timers.now());
-        startNext();
-    }
-
     private void startNext() {
         long now = timers.now();
-        room.limit(limit(now));
+        room.limit(runner.limit());
         for (TargetCall hopeless : room.hopeless(now)) {
-            refuse(hopeless, RefusalReason.DEADLINE_TOO_SHORT, room.retryAfterMilliseconds());
+            open.refuse(hopeless, RefusalReason.DEADLINE_TOO_SHORT, room.retryAfterMilliseconds());
         }
         if (room.waiting() == 0 || room.running() >= room.limit() || register.isDown()) {
             return;
         }
-        if (slowness.isKnown() && !slowness.isFresh(now) && checkSpeed()) {
+        if (speed.isAskedFirst()) {
             return;
         }
-        if (!slowness.isSlow(now)) {
+        if (!speed.moments().isSlow(now)) {
             for (TargetCall next = room.next(now); next != null; next = room.next(now)) {
-                handOver(next);
+                runner.handOver(next);
             }
         }
     }
@@ -439,16 +274,6 @@
                 });
     }
 
-    private int limit(long now) {
-        int slots = register.current().map(UpstreamAnnouncement::slots).orElse(1);
-        if (shed > 0 && now - shedAt >= SHED_MEMORY_MILLISECONDS) {
-            shed--;
-            shedAt = now;
-        }
-        int best = crowding.best(slots);
-        return Math.max(1, best - Math.min(shed, slots / 2));
-    }
-
     /** A call that was lost on its way is stopped for good, or its outcome follows. */
     public void seal(EntryName entry, CallSeal seal, CallOutcomes outcomes) {
         long now = timers.now();
@@ -461,8 +286,8 @@
         TargetCall call = open.get(id);
         if (state == SealState.SEALED && call != null) {
             room.remove(call);
-            unsure.remove(call);
-            open.remove(id);
+            speed.remove(call);
+            open.remove(call);
         } else if (call != null) {
             call.outcomes = outcomes;
         }
@@ -474,29 +299,10 @@
                         .build());
         log.event("call-sealed").with("request", id).with("state", state).write();
         if (call == null && state != SealState.SEALED) {
-            tellKnown(seal, id, outcomes);
+            replies.known(seal, ledger.answer(id).orElse(ByteString.EMPTY), outcomes);
         }
     }
 
-    /** The call has ended: its outcome is told again, as far as it is kept. */
-    private void tellKnown(CallSeal seal, RequestId id, CallOutcomes outcomes) {
-        ByteString kept = ledger.answer(id).orElse(ByteString.EMPTY);
-        if (!kept.isEmpty()) {
-            try {
-                outcomes.answered(ForwardedAnswer.parseFrom(kept));
-                return;
-            } catch (InvalidProtocolBufferException unreadable) {
-                log.event("kept-answer-unreadable").with("request", id).write();
-            }
-        }
-        outcomes.failed(
-                ForwardedFailure.newBuilder()
-                        .setSequence(seal.getSequence())
-                        .setAttempt(seal.getAttempt())
-                        .setDetail("the outcome is not known any more")
-                        .build());
-    }
-
     /** The entry no longer waits: what may be repeated is stopped, what may not goes on. */
     public void cancel(EntryName entry, CallCancel cancel) {
         TargetCall call = open.get(requestId(entry, cancel.getSequence()));
@@ -507,7 +313,7 @@
 
     /** A link ended: nobody hears the outcomes of its calls any more. */
     public void ended(CallOutcomes outcomes) {
-        for (TargetCall call : new ArrayList<>(open.values())) {
+        for (TargetCall call : open.all()) {
             if (call.outcomes == outcomes && !call.call.getNonIdempotent()) {
                 stopCall(call);
             }
@@ -517,128 +323,44 @@
     private void stopCall(TargetCall call) {
         if (!call.isRunning()) {
             room.remove(call);
-            unsure.remove(call);
+            speed.remove(call);
             ledger.refuse(call.id);
-            open.remove(call.id);
+            open.remove(call);
         } else if (!call.call.getNonIdempotent()) {
             call.deadlineTimer.cancel();
             call.sent.abandon();
             room.abandoned();
             ledger.failed(call.id);
-            open.remove(call.id);
+            open.remove(call);
             startNext();
         }
     }
 
     /** What the upstream's load is at this instant. */
     public TargetLoad load() {
-        long now = timers.now();
-        TargetLoad.Builder load =
-                TargetLoad.newBuilder()
-                        .setRunning(room.running())
-                        .setWaiting(room.waiting())
-                        .setLimit(room.limit())
-                        .setFailuresPerThousand((int) (failures.at(now) * PER_THOUSAND))
-                        .setState(state());
-        if (slowness.isKnown()) {
-            load.setSlownessPercent((int) Math.round(slowness.last() * PERCENT))
-                    .setSteadySlownessPercent((int) Math.round(slowness.steady() * PERCENT))
-                    .setSlownessAgeMilliseconds(
-                            (int) Math.min(Integer.MAX_VALUE, slowness.age(now)));
-        }
-        return load.build();
+        return gauge.load(speed.moments(), timers.now());
     }
 
-    private UpstreamState state() {
-        if (register.current().isEmpty() || register.isDown()) {
-            return UpstreamState.ABSENT;
+    private final class Watched implements UpstreamWatch.Listener {
+        @Override
+        public Collection<RequestFingerprint> running() {
+            return open.running();
         }
-        return stopping || register.isLeaving() ? UpstreamState.LEAVING : UpstreamState.SERVING;
-    }
 
-    private void upstreamDown(String reason) {
-        if (register.isDown()) {
-            return;
-        }
-        register.down();
-        log.event("upstream-down").with("reason", reason).with("open", open.size()).write();
-        for (TargetCall waiting : room.takeAll()) {
-            refuse(waiting, RefusalReason.UPSTREAM_UNREACHABLE, 0);
-        }
-        List<RequestFingerprint> running = recentFailures.since(timers.now());
-        for (TargetCall call : open.values()) {
-            if (call.isRunning()) {
-                running.add(call.fingerprint());
+        @Override
+        public void onDown(List<RequestFingerprint> suspects) {
+            for (TargetCall waiting : room.takeAll()) {
+                open.refuse(waiting, RefusalReason.UPSTREAM_UNREACHABLE, 0);
             }
+            events.crashed(suspects);
+            events.upstreamChanged();
         }
-        events.crashed(running);
-        events.upstreamChanged();
-        probeSoon();
-    }
 
-    /** Finds out whether an upstream that failed takes connections. */
-    private void probeSoon() {
-        if (probing || register.current().isEmpty()) {
-            return;
+        @Override
+        public void onUp() {
+            events.upstreamChanged();
+            startNext();
         }
-        probing = true;
-        pool.probe(
-                reachable -> {
-                    if (!reachable) {
-                        upstreamDown("no connection");
-                        timers.after(
-                                PROBE_MILLISECONDS,
-                                () -> {
-                                    probing = false;
-                                    probeSoon();
-                                });
-                        return;
-                    }
-                    probing = false;
-                    if (register.isDown()) {
-                        register.up();
-                        log.event("upstream-up").write();
-                        events.upstreamChanged();
-                        startNext();
-                    }
-                });
-    }
-
-    private void refuse(TargetCall call, RefusalReason reason, long retryAfterMilliseconds) {
-        ledger.refuse(call.id);
-        open.remove(call.id);
-        tellRefusal(call, reason, retryAfterMilliseconds);
-    }
-
-    private void tellRefusal(TargetCall call, RefusalReason reason, long retryAfterMilliseconds) {
-        TargetLoad load = load();
-        log.event("call-refused")
-                .with("request", call.call.getCallerRequestId())
-                .with("reason", reason)
-                .with("running", load.getRunning())
-                .with("waiting", load.getWaiting())
-                .with("limit", load.getLimit())
-                .with("slowness", load.getSlownessPercent())
-                .with("waited_ms", timers.now() - call.arrivedAt)
-                .write();
-        call.outcomes.refused(
-                ForwardedRefusal.newBuilder()
-                        .setSequence(call.call.getSequence())
-                        .setAttempt(call.call.getAttempt())
-                        .setReason(reason)
-                        .setRetryAfterMilliseconds((int) retryAfterMilliseconds)
-                        .setLoad(load)
-                        .build());
-    }
-
-    private void tellFailure(TargetCall call, String detail) {
-        call.outcomes.failed(
-                ForwardedFailure.newBuilder()
-                        .setSequence(call.call.getSequence())
-                        .setAttempt(call.call.getAttempt())
-                        .setDetail(detail)
-                        .setLoad(load())
-                        .build());
     }
 
     private static RequestId requestId(EntryName entry, long sequence) {
--- a/relay/src/test/java/org/damaskmoor/relay/FleetTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/FleetTest.java
@@ -251,9 +251,8 @@
     }
 
     @Test
-    void
-            should_run_once_and_tell_unknown_when_the_target_dies_with_a_call_that_may_not_be_repeated()
-                    throws Exception {
+    void should_run_once_and_tell_unknown_when_the_target_dies_with_a_non_idempotent_call()
+            throws Exception {
         // given
         upstream.script((request, connection) -> Thread.sleep(5000));
         CompletableFuture<RawCaller.Answer> open =
@@ -270,8 +269,7 @@
     }
 
     @Test
-    void should_try_another_target_when_one_dies_with_a_call_that_may_be_repeated()
-            throws Exception {
+    void should_try_another_target_when_one_dies_with_an_idempotent_call() throws Exception {
         // given
         try (UpstreamStandIn second = new UpstreamStandIn();
                 RelayUnderTest other = fleet.relay("zother", second)) {
--- a/relay/src/test/java/org/damaskmoor/relay/PlatformWordsTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/PlatformWordsTest.java
@@ -17,7 +17,8 @@
             Pattern.compile(
                     "\"(Request-Id|Deadline-Ms|Expect-Instance|Caller-Service|Server-Stamp"
                             + "|Server-Load|Not-Executed|Instance-Id|weightedSplit|targetLatency"
-                            + "|maxAttempts|coldRemaining|hasMore|waitMs)\"|/v1/|rows-|Instances\\.");
+                            + "|maxAttempts|coldRemaining|hasMore|waitMs)\""
+                            + "|/v1/|rows-|Instances\\.");
 
     @Test
     void should_keep_the_words_of_the_platform_in_its_folder() throws IOException {
