Unlearn usual times that were learnt while upstreams were slow

Cause: a route whose usual time has been learnt as more than its callers' deadline would be refused for ever, because no answer comes any more that could correct it (found by reading; the test fails without the change). Change: one of five such calls is sent all the same.

--- a/core/src/main/java/org/damaskmoor/core/placement/UsualWork.java
+++ b/core/src/main/java/org/damaskmoor/core/placement/UsualWork.java
@@ -13,6 +13,12 @@
     private static final int FIRST_SAMPLES = 8;
     private static final int MOST_ROUTES = 4096;
 
+    /** Least part of its usual time that a call needs to be worth sending. */
+    private static final double LEAST_WORK_SHARE = 0.8;
+
+    /** Of so many calls with too little time left one is sent anyway. */
+    private static final int TRIED_ANYWAY = 5;
+
     /** Size of a call and its answer before any was seen, in kilobytes. */
     private static final double UNKNOWN_KILOBYTES = 2;
 
@@ -22,6 +28,7 @@
         private double milliseconds;
         private double kilobytes;
         private int samples;
+        private int tooShort;
     }
 
     /** A call was answered after the given time by an upstream of the given slowness. */
@@ -43,6 +50,19 @@
         return means == null ? 0 : means.milliseconds;
     }
 
+    /**
+     * Whether a call has too little time left to be answered. One of {@link #TRIED_ANYWAY} is not
+     * said to be, so that a time that was learnt while upstreams were slow is unlearnt again.
+     */
+    public boolean isTooShort(String route, double leftMilliseconds) {
+        Means means = routes.get(route);
+        if (means == null || leftMilliseconds >= LEAST_WORK_SHARE * means.milliseconds) {
+            return false;
+        }
+        means.tooShort++;
+        return means.tooShort % TRIED_ANYWAY != 0;
+    }
+
     /** Usual size of a call and its answer, in kilobytes. */
     public double kilobytes(String route) {
         Means means = routes.get(route);
--- a/core/src/main/java/org/damaskmoor/core/waiting/WaitingRoom.java
+++ b/core/src/main/java/org/damaskmoor/core/waiting/WaitingRoom.java
@@ -54,7 +54,7 @@
     private static final double SHORT_PART = 0.35;
 
     /** Least part of its usual time that a call needs before its deadline to be worth running. */
-    public static final double LEAST_WORK_SHARE = 0.8;
+    private static final double LEAST_WORK_SHARE = 0.8;
 
     private static final int SHORT = 0;
     private static final int REACHES_GOAL = 1;
--- a/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
@@ -19,7 +19,6 @@
 import org.damaskmoor.core.placement.WorkView;
 import org.damaskmoor.core.retry.FleetRetryBudget;
 import org.damaskmoor.core.routes.Route;
-import org.damaskmoor.core.waiting.WaitingRoom;
 import org.damaskmoor.relay.internal.caller.CallerReply;
 import org.damaskmoor.relay.internal.caller.CallerRequest;
 import org.damaskmoor.relay.internal.fleet.FleetTarget;
@@ -124,8 +123,7 @@
 
     void start() {
         budget.onRequest(now());
-        double usual = context.usualWork().milliseconds(route.name());
-        if (limitAt - now() < WaitingRoom.LEAST_WORK_SHARE * usual) {
+        if (context.usualWork().isTooShort(route.name(), (double) (limitAt - now()))) {
             replies.notRun(
                     RefusalReason.DEADLINE_TOO_SHORT, retryAfterMilliseconds, tried, sentBack);
             call.callerGone();
