Ask for configuration changes at most every 0.6 s

Cause: a storm of changes every 0.33 s costs every node a call to the store each; the bound to be in force is 2.5 s. Change: changes within 0.6 s cost one call.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
@@ -63,6 +63,9 @@
     private static final int LEDGER_FENCES = 1024;
     private static final long TICK_MILLISECONDS = 1000;
 
+    /** Changes of the configuration within this time cost one call to the store. */
+    private static final long CONFIGURATION_REST_MILLISECONDS = 600;
+
     /** Time for the last replies to be written before connections are closed. */
     private static final long LAST_REPLIES_MILLISECONDS = 50;
 
@@ -114,7 +117,7 @@
                         random,
                         log,
                         configuration,
-                        () -> 0);
+                        () -> CONFIGURATION_REST_MILLISECONDS);
         this.peerNews =
                 new PeerNews(fleet, configuration, crashes, this::isStoreLost, timers, random);
         this.ports = ports(loop);
