--- a/relay/src/main/java/org/damaskmoor/relay/internal/fleet/FleetDirectory.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/FleetDirectory.java
@@ -35,6 +35,9 @@
     /** Table of the store in which each node keeps its own record, under its name. */
     public static final String TABLE = "members";
 
+    /** Nodes of a region that watch the records closely: two, so that one may be lost. */
+    private static final int READERS = 2;
+
     private final NodeId self;
     private final RegionName region;
     private final DataCentreName dataCentre;
@@ -46,9 +49,6 @@
     private final Map<NodeId, Long> storedVersions = new HashMap<>();
     private boolean snapshotSeen;
 
-    /** Nodes of a region that watch the records closely: two, so that one may be lost. */
-    private static final int READERS = 2;
-
     /** Makes the link to a node. */
     @FunctionalInterface
     public interface LinkMaker {
