--- a/relay/src/main/java/org/damaskmoor/relay/RelaySettingsReader.java
+++ b/relay/src/main/java/org/damaskmoor/relay/RelaySettingsReader.java
@@ -17,6 +17,7 @@
 import org.damaskmoor.core.id.ServiceName;
 import org.damaskmoor.core.settings.SettingFault;
 import org.damaskmoor.core.settings.SettingsException;
+import org.damaskmoor.relay.internal.net.Addresses;
 
 /**
  * Reads the settings of a relay from a properties file and lists all faults at once.
@@ -119,7 +120,7 @@
     }
 
     private Optional<InetSocketAddress> address(String name) {
-        return value(name, RelaySettingsReader::hostAndPort);
+        return value(name, Addresses::parse);
     }
 
     private <T> Optional<T> value(String name, Function<String, T> reader) {
@@ -136,15 +137,6 @@
         }
     }
 
-    private static InetSocketAddress hostAndPort(String text) {
-        int colon = text.lastIndexOf(':');
-        if (colon <= 0) {
-            throw new IllegalArgumentException("HOST:PORT");
-        }
-        int port = Integer.parseInt(text.substring(colon + 1));
-        return new InetSocketAddress(text.substring(0, colon), port);
-    }
-
     private static long milliseconds(String text) {
         if (text.endsWith("ms")) {
             return Math.round(notNegative(text.substring(0, text.length() - 2)));
--- a/relay/src/main/java/org/damaskmoor/relay/internal/fleet/FleetDirectory.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/FleetDirectory.java
@@ -20,6 +20,7 @@
 import org.damaskmoor.platform.machines.StoredRow;
 import org.damaskmoor.relay.internal.link.CallLink;
 import org.damaskmoor.relay.internal.log.EventLog;
+import org.damaskmoor.relay.internal.net.Addresses;
 import org.damaskmoor.relay.internal.time.Timers;
 import org.damaskmoor.schema.link.FleetMember;
 import org.damaskmoor.schema.link.FleetNews;
@@ -263,13 +264,8 @@
     }
 
     private static Optional<InetSocketAddress> address(String text) {
-        int colon = text.lastIndexOf(':');
-        if (colon <= 0) {
-            return Optional.empty();
-        }
         try {
-            int port = Integer.parseInt(text.substring(colon + 1));
-            return Optional.of(new InetSocketAddress(text.substring(0, colon), port));
+            return Optional.of(Addresses.parse(text));
         } catch (IllegalArgumentException unusable) {
             return Optional.empty();
         }
--- /dev/null
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/net/Addresses.java
@@ -0,0 +1,22 @@
+package org.damaskmoor.relay.internal.net;
+
+import java.net.InetSocketAddress;
+
+/** Reads addresses written as HOST:PORT. Thread-safe: pure functions. */
+public final class Addresses {
+    private Addresses() {}
+
+    /**
+     * Reads an address.
+     *
+     * @throws IllegalArgumentException when it has another form, or the port is out of range
+     */
+    public static InetSocketAddress parse(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0) {
+            throw new IllegalArgumentException("HOST:PORT");
+        }
+        int port = Integer.parseInt(text.substring(colon + 1));
+        return new InetSocketAddress(text.substring(0, colon), port);
+    }
+}
