--- a/core/src/main/java/org/damaskmoor/core/placement/TargetChooser.java
+++ b/core/src/main/java/org/damaskmoor/core/placement/TargetChooser.java
@@ -8,8 +8,8 @@
  * Chooses the target whose answer is expected to be worth most, less what it costs to carry it;
  * answers bursts whose calls must not all go to the hole that was seen last.
  *
- * <p>The worth of an answer falls from its goal on, so a near target that is a little slower is
- * better than a far one as long as both answer in time. Each call that is sent raises the
+ * <p>The worth of an answer falls from its objective on, so a near target that is a little slower
+ * is better than a far one as long as both answer in time. Each call that is sent raises the
  * expectation at its target at once, so the next one of a burst sees it. Costs are told in answers,
  * times in milliseconds. Not thread-safe.
  */
@@ -26,17 +26,17 @@
     /** Usual wait for the end of a slow moment, in milliseconds. */
     private static final double MOMENT_MILLISECONDS = 90;
 
-    /** Expected part of the goal up to which practically every answer is in time. */
+    /** Expected part of the objective up to which practically every answer is in time. */
     private static final double SAFE_PART = 0.4;
 
-    /** Expected part of the goal from which practically every answer is late. */
+    /** Expected part of the objective from which practically every answer is late. */
     private static final double LATE_PART = 1.3;
 
     /** What a late answer loses, in answers. */
     private static final double LATE_LOSS = 0.9;
 
     /** Makes the sooner answer the better one where both are in time. */
-    private static final double LOSS_PER_GOAL = 0.06;
+    private static final double LOSS_PER_OBJECTIVE = 0.06;
 
     /** What a failure loses: the answer, or the work of another attempt. */
     private static final double FAILURE_LOSS = 0.6;
@@ -91,7 +91,7 @@
             return Double.MAX_VALUE;
         }
         double low = 0;
-        double high = Math.max(1, 2 * work.goalMilliseconds());
+        double high = Math.max(1, 2 * work.objectiveMilliseconds());
         if (cost(target, work, high, now) <= otherCost) {
             return high;
         }
@@ -113,10 +113,10 @@
      */
     public double cost(TargetEstimate target, WorkView work, double delayMilliseconds, long now) {
         double time = expectedMilliseconds(target, work, now) + delayMilliseconds;
-        double part = time / Math.max(1, work.goalMilliseconds());
+        double part = time / Math.max(1, work.objectiveMilliseconds());
         double late = Math.min(1, Math.max(0, (part - SAFE_PART) / (LATE_PART - SAFE_PART)));
         return LATE_LOSS * late
-                + LOSS_PER_GOAL * part
+                + LOSS_PER_OBJECTIVE * part
                 + FAILURE_LOSS * target.failureRate(now)
                 + target.nearness().pricePerKilobyte() * work.kilobytes();
     }
--- a/core/src/main/java/org/damaskmoor/core/routes/Route.java
+++ b/core/src/main/java/org/damaskmoor/core/routes/Route.java
@@ -14,7 +14,8 @@
  * @param prefix beginning of the paths
  * @param idempotent whether a request may run more than once
  * @param timeoutMilliseconds longest time until a caller is answered; 0 for no bound
- * @param goalMilliseconds time in which an answer has its full worth; 0 when there is no goal
+ * @param objectiveMilliseconds time in which an answer has its full worth; 0 when there is no
+ *     objective
  * @param priority 0 is the most urgent
  * @param parts the services, each with its weight
  * @param maximumAttempts most upstreams that one request may be sent to
@@ -25,7 +26,7 @@
         String prefix,
         boolean idempotent,
         long timeoutMilliseconds,
-        long goalMilliseconds,
+        long objectiveMilliseconds,
         int priority,
         List<RoutePart> parts,
         int maximumAttempts) {
@@ -44,9 +45,9 @@
         if (parts.isEmpty()) {
             throw new IllegalArgumentException("Route " + name + " names no service.");
         }
-        if (timeoutMilliseconds < 0 || goalMilliseconds < 0 || priority < 0) {
+        if (timeoutMilliseconds < 0 || objectiveMilliseconds < 0 || priority < 0) {
             throw new IllegalArgumentException(
-                    "Route " + name + " has a negative timeout, goal or priority.");
+                    "Route " + name + " has a negative timeout, objective or priority.");
         }
         if (maximumAttempts < 1) {
             throw new IllegalArgumentException("Route " + name + " allows no attempt.");
--- a/core/src/main/java/org/damaskmoor/core/routes/ServiceEntry.java
+++ b/core/src/main/java/org/damaskmoor/core/routes/ServiceEntry.java
@@ -7,7 +7,7 @@
  * A service as the operator configured it. Immutable and thread-safe.
  *
  * @param name its name
- * @param healthPath path of the status check; empty when there is none
+ * @param healthPath path of the health check; empty when there is none
  * @param maximumConnections most connections that an upstream accepts from all callers together
  */
 public record ServiceEntry(ServiceName name, String healthPath, int maximumConnections) {
--- a/core/src/main/java/org/damaskmoor/core/upstream/UpstreamAnnouncement.java
+++ b/core/src/main/java/org/damaskmoor/core/upstream/UpstreamAnnouncement.java
@@ -8,8 +8,8 @@
  *
  * @param id the upstream
  * @param service the service that it runs
- * @param bornEpochMilliseconds when this lifetime started, by the upstream's clock
- * @param sequence grows with each announcement of a lifetime
+ * @param bornEpochMilliseconds when this incarnation started, by the upstream's clock
+ * @param sequence grows with each announcement of a incarnation
  * @param slots calls that it runs at once
  * @param draining whether it is about to leave
  * @param coldMilliseconds how much longer it is slow after its start
@@ -31,7 +31,7 @@
         }
     }
 
-    /** Whether this was said after the other one: by a later lifetime, or later in the same. */
+    /** Whether this was said after the other one: by a later incarnation, or later in the same. */
     public boolean isNewerThan(UpstreamAnnouncement other) {
         if (bornEpochMilliseconds != other.bornEpochMilliseconds) {
             return bornEpochMilliseconds > other.bornEpochMilliseconds;
@@ -39,8 +39,8 @@
         return sequence > other.sequence;
     }
 
-    /** Whether both were said in the same lifetime of the same upstream. */
-    public boolean isSameLifetime(UpstreamAnnouncement other) {
+    /** Whether both were said in the same incarnation of the same upstream. */
+    public boolean isSameIncarnation(UpstreamAnnouncement other) {
         return id.equals(other.id) && bornEpochMilliseconds == other.bornEpochMilliseconds;
     }
 }
--- a/core/src/main/java/org/damaskmoor/core/upstream/UpstreamId.java
+++ b/core/src/main/java/org/damaskmoor/core/upstream/UpstreamId.java
@@ -3,7 +3,7 @@
 import java.util.Objects;
 
 /**
- * An upstream's own name of its current lifetime. A later lifetime may have the same name.
+ * An upstream's own name of its current incarnation. A later incarnation may have the same name.
  * Immutable and thread-safe.
  *
  * @param value the name; not empty
--- a/core/src/main/java/org/damaskmoor/core/upstream/UpstreamRegister.java
+++ b/core/src/main/java/org/damaskmoor/core/upstream/UpstreamRegister.java
@@ -5,16 +5,17 @@
 import java.util.OptionalLong;
 
 /**
- * What is known of the upstream on this VM: which lifetime is the present one, whether it leaves,
- * and whether it answers. Answers announcements that come late, twice, or from a former lifetime.
+ * What is known of the upstream on this VM: which incarnation is the present one, whether it
+ * leaves, and whether it answers. Answers announcements that come late, twice, or from a former
+ * incarnation.
  *
- * <p>Invariants: an older announcement never replaces a newer one; a lifetime that has said that it
- * leaves never takes new calls again. Times are in milliseconds of one monotonic clock. Not
+ * <p>Invariants: an older announcement never replaces a newer one; a incarnation that has said that
+ * it leaves never takes new calls again. Times are in milliseconds of one monotonic clock. Not
  * thread-safe.
  */
 public final class UpstreamRegister {
-    /** Former lifetimes whose late announcements are recognised. */
-    private static final int REMEMBERED_LIFETIMES = 16;
+    /** Former incarnations whose late announcements are recognised. */
+    private static final int REMEMBERED_INCARNATIONS = 16;
 
     /** Before the end of the drain time, so that a call on its way arrives within it. */
     private static final long DRAIN_MARGIN_MILLISECONDS = 400;
@@ -40,7 +41,7 @@
     public enum Change {
         /** Nothing. */
         NONE,
-        /** A lifetime that was not known is here, or a known one answers again. */
+        /** A incarnation that was not known is here, or a known one answers again. */
         APPEARED,
         /** The upstream leaves. */
         LEAVING
@@ -51,24 +52,24 @@
         if (hasLeft(news) || (current != null && !news.isNewerThan(current))) {
             return Change.NONE;
         }
-        boolean sameLifetime = current != null && news.isSameLifetime(current);
+        boolean sameIncarnation = current != null && news.isSameIncarnation(current);
         boolean wasDown = down;
         current = news;
         coldUntil = now + news.coldMilliseconds();
-        if (!sameLifetime) {
+        if (!sameIncarnation) {
             leaving = false;
         }
         down = false;
         if (news.draining() && !leaving) {
             return leave(now);
         }
-        return !sameLifetime || (wasDown && !leaving) ? Change.APPEARED : Change.NONE;
+        return !sameIncarnation || (wasDown && !leaving) ? Change.APPEARED : Change.NONE;
     }
 
     /**
      * The upstream said that it goes.
      *
-     * @param born start of the lifetime that goes, when it was told
+     * @param born start of the incarnation that goes, when it was told
      */
     public Change leave(UpstreamId id, OptionalLong born, long now) {
         boolean present =
@@ -85,15 +86,15 @@
         leaving = true;
         leavingSince = now;
         left.addLast(current);
-        if (left.size() > REMEMBERED_LIFETIMES) {
+        if (left.size() > REMEMBERED_INCARNATIONS) {
             left.removeFirst();
         }
         return Change.LEAVING;
     }
 
     private boolean hasLeft(UpstreamAnnouncement news) {
-        return left.stream().anyMatch(news::isSameLifetime)
-                && (current == null || !news.isSameLifetime(current));
+        return left.stream().anyMatch(news::isSameIncarnation)
+                && (current == null || !news.isSameIncarnation(current));
     }
 
     /** Its address does not answer, or another upstream answers there. */
@@ -116,7 +117,7 @@
         return leaving;
     }
 
-    /** The present lifetime, or empty before the first announcement. */
+    /** The present incarnation, or empty before the first announcement. */
     public Optional<UpstreamAnnouncement> current() {
         return Optional.ofNullable(current);
     }
--- a/core/src/main/java/org/damaskmoor/core/waiting/WaitingCall.java
+++ b/core/src/main/java/org/damaskmoor/core/waiting/WaitingCall.java
@@ -5,7 +5,7 @@
  *
  * @param handle what the caller of the room knows it by
  * @param priority 0 is the most urgent
- * @param goalAt until when its answer has its full worth, in milliseconds of the room's clock
+ * @param objectiveAt until when its answer has its full worth, in milliseconds of the room's clock
  * @param deadlineAt until when anyone waits for it
  * @param usualMilliseconds what such calls take on an idle VM; 0 when unknown
  * @param spareMilliseconds how much later it may start here before another target is better
@@ -14,7 +14,7 @@
 public record WaitingCall<T>(
         T handle,
         int priority,
-        long goalAt,
+        long objectiveAt,
         long deadlineAt,
         double usualMilliseconds,
         double spareMilliseconds,
--- a/core/src/main/java/org/damaskmoor/core/waiting/WaitingRoom.java
+++ b/core/src/main/java/org/damaskmoor/core/waiting/WaitingRoom.java
@@ -22,8 +22,8 @@
  * is sent back at once, so that its caller can go elsewhere or come again. The most urgent go
  * first. Among equals, calls that are much shorter than usual go first: they cost the others
  * little, and are often calls that a longer one elsewhere waits for. Then come those that can still
- * reach their goal, the one with the nearest goal first. An urgent call takes the place of a less
- * urgent one when the room is full.
+ * meet their objective, the one with the nearest objective first. An urgent call takes the place of
+ * a less urgent one when the room is full.
  *
  * <p>Invariants: never more running than the limit, save after the limit fell; a call leaves the
  * room once. Times are in milliseconds of one monotonic clock. Not thread-safe.
@@ -35,13 +35,15 @@
     /** Service time before any is known, in milliseconds. */
     private static final double FIRST_SERVICE_MILLISECONDS = 100;
 
-    /** Most that wait for each slot: more than this could not be served within any goal. */
+    /** Most that wait for each slot: more than this could not be served within any objective. */
     private static final int MOST_WAITING_PER_SLOT = 4;
 
-    /** A call that will miss its goal may wait for this part of what is left to its deadline. */
+    /**
+     * A call that will miss its objective may wait for this part of what is left to its deadline.
+     */
     private static final double LATE_WAIT_SHARE = 0.15;
 
-    /** With so many waiting for each slot, calls that will miss their goal are not taken. */
+    /** With so many waiting for each slot, calls that will miss their objective are not taken. */
     private static final double PRESSURE_PER_SLOT = 0.5;
 
     /** Weight of one call in the share of work that is more urgent. */
@@ -57,8 +59,8 @@
     private static final double LEAST_WORK_SHARE = 0.8;
 
     private static final int SHORT = 0;
-    private static final int REACHES_GOAL = 1;
-    private static final int MISSES_GOAL = 2;
+    private static final int MEETS_OBJECTIVE = 1;
+    private static final int MISSES_OBJECTIVE = 2;
     private static final long LEAST_RETRY_AFTER_MILLISECONDS = 50;
     private static final long MOST_RETRY_AFTER_MILLISECONDS = 3000;
 
@@ -114,9 +116,9 @@
         double service = call.usualMilliseconds() + delayMilliseconds;
         double urgent = Math.min(MOST_URGENT_SHARE, urgentShare(call.priority()));
         wait = wait / (1 - urgent);
-        boolean reachesGoal = now + wait + service <= call.goalAt();
+        boolean meetsObjective = now + wait + service <= call.objectiveAt();
         boolean worthWaiting =
-                reachesGoal
+                meetsObjective
                         || (call.lastChoice()
                                 && (!isUnderPressure() || rank(call, now) == SHORT)
                                 && wait <= LATE_WAIT_SHARE * (call.deadlineAt() - now)
@@ -237,7 +239,8 @@
         for (WaitingCall<T> call : waiting) {
             if (least == null
                     || call.priority() > least.priority()
-                    || (call.priority() == least.priority() && call.goalAt() > least.goalAt())) {
+                    || (call.priority() == least.priority()
+                            && call.objectiveAt() > least.objectiveAt())) {
                 least = call;
             }
         }
@@ -255,7 +258,7 @@
         }
         int rank = rank(call, now);
         int otherRank = rank(other, now);
-        return rank == otherRank ? call.goalAt() < other.goalAt() : rank < otherRank;
+        return rank == otherRank ? call.objectiveAt() < other.objectiveAt() : rank < otherRank;
     }
 
     private int rank(WaitingCall<T> call, long now) {
@@ -263,7 +266,7 @@
         if (usual > 0 && usual <= SHORT_PART * serviceMilliseconds) {
             return SHORT;
         }
-        return now + usual <= call.goalAt() ? REACHES_GOAL : MISSES_GOAL;
+        return now + usual <= call.objectiveAt() ? MEETS_OBJECTIVE : MISSES_OBJECTIVE;
     }
 
     private static long retryAfter(double milliseconds) {
--- a/core/src/test/java/org/damaskmoor/core/upstream/UpstreamRegisterTest.java
+++ b/core/src/test/java/org/damaskmoor/core/upstream/UpstreamRegisterTest.java
@@ -24,7 +24,7 @@
     }
 
     @Test
-    void should_ignore_a_late_announcement_of_a_former_lifetime() {
+    void should_ignore_a_late_announcement_of_a_former_incarnation() {
         // given
         register.announce(announcement("i-2", 200, 1, false), 0);
 
@@ -37,7 +37,7 @@
     }
 
     @Test
-    void should_take_a_restart_under_the_same_id_for_a_new_lifetime() {
+    void should_take_a_restart_under_the_same_id_for_a_new_incarnation() {
         // given
         register.announce(announcement("i-1", 100, 40, true), 0);
 
@@ -49,7 +49,7 @@
     }
 
     @Test
-    void should_not_return_to_a_lifetime_that_has_said_that_it_leaves() {
+    void should_not_return_to_a_incarnation_that_has_said_that_it_leaves() {
         // given
         register.announce(announcement("i-1", 100, 1, false), 0);
         register.announce(announcement("i-1", 100, 2, true), 10);
@@ -77,7 +77,7 @@
     }
 
     @Test
-    void should_ignore_the_leaving_of_another_lifetime() {
+    void should_ignore_the_leaving_of_another_incarnation() {
         // given
         register.announce(announcement("i-1", 300, 1, false), 0);
 
--- a/core/src/test/java/org/damaskmoor/core/waiting/WaitingRoomTest.java
+++ b/core/src/test/java/org/damaskmoor/core/waiting/WaitingRoomTest.java
@@ -90,7 +90,7 @@
     }
 
     @Test
-    void should_let_calls_that_reach_their_goal_go_before_those_that_miss_it() {
+    void should_let_calls_that_reach_their_objective_go_before_those_that_miss_it() {
         // given
         offer("running", 1, 5000);
         offer("missing", 1, 250);
@@ -147,7 +147,7 @@
     }
 
     @Test
-    void should_take_no_call_that_will_miss_its_goal_while_others_press() {
+    void should_take_no_call_that_will_miss_its_objective_while_others_press() {
         // given
         offer("running", 1, 5000);
         offer("waiting", 1, 5000);
@@ -194,9 +194,9 @@
         assertThat(room.next(10)).isNull();
     }
 
-    private Kind offer(String name, int priority, long goalAt) {
+    private Kind offer(String name, int priority, long objectiveAt) {
         return room.offer(
-                        new WaitingCall<>(name, priority, goalAt, 90_000, 100, MUCH, true),
+                        new WaitingCall<>(name, priority, objectiveAt, 90_000, 100, MUCH, true),
                         0,
                         true,
                         0)
--- a/relay/src/main/java/org/damaskmoor/relay/RelaySettings.java
+++ b/relay/src/main/java/org/damaskmoor/relay/RelaySettings.java
@@ -28,7 +28,7 @@
  * @param retryRatio further attempts for each request, over all nodes
  * @param retrySlack further attempts beside those, over all nodes and a window
  * @param retryWindowMilliseconds length of that window
- * @param statusChecksPerSecond most status checks of the upstream in a second
+ * @param healthChecksPerSecond most health checks of the upstream in a second
  */
 public record RelaySettings(
         NodeId node,
@@ -48,7 +48,7 @@
         double retryRatio,
         double retrySlack,
         long retryWindowMilliseconds,
-        double statusChecksPerSecond) {
+        double healthChecksPerSecond) {
     public RelaySettings {
         seeds = List.copyOf(seeds);
     }
--- a/relay/src/main/java/org/damaskmoor/relay/RelaySettingsReader.java
+++ b/relay/src/main/java/org/damaskmoor/relay/RelaySettingsReader.java
@@ -83,7 +83,7 @@
         Optional<Double> slack = value("retry-slack", RelaySettingsReader::notNegative);
         Optional<Long> window = value("retry-window", RelaySettingsReader::milliseconds);
         Optional<Double> checks =
-                value("status-checks-per-second", RelaySettingsReader::notNegative);
+                value("health-checks-per-second", RelaySettingsReader::notNegative);
         if (!faults.isEmpty()) {
             throw new SettingsException(faults);
         }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/NodeTargetEvents.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/NodeTargetEvents.java
@@ -12,19 +12,19 @@
 /** Leads what the target tells to the parts of its node. Confined to the event loop. */
 final class NodeTargetEvents implements TargetEvents {
     private final Runnable upstreamChanged;
-    private final Supplier<String> statusPath;
+    private final Supplier<String> healthPath;
     private final LongSupplier lastFailure;
     private final CrashBoard crashes;
     private final Consumer<List<QuarantineRecord>> tell;
 
     NodeTargetEvents(
             Runnable upstreamChanged,
-            Supplier<String> statusPath,
+            Supplier<String> healthPath,
             LongSupplier lastFailure,
             CrashBoard crashes,
             Consumer<List<QuarantineRecord>> tell) {
         this.upstreamChanged = upstreamChanged;
-        this.statusPath = statusPath;
+        this.healthPath = healthPath;
         this.lastFailure = lastFailure;
         this.crashes = crashes;
         this.tell = tell;
@@ -41,8 +41,8 @@
     }
 
     @Override
-    public String statusPath() {
-        return statusPath.get();
+    public String healthPath() {
+        return healthPath.get();
     }
 
     @Override
--- a/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
@@ -140,11 +140,11 @@
                 log,
                 new NodeTargetEvents(
                         this::onUpstreamChanged,
-                        this::statusPath,
+                        this::healthPath,
                         () -> entry().lastFailureAt(),
                         crashes,
                         this::tellCrashes),
-                settings.statusChecksPerSecond());
+                settings.healthChecksPerSecond());
     }
 
     private FleetDirectory directory() {
@@ -327,7 +327,7 @@
         return configuration.table().map(RouteTable::limits).orElse(CallerLimits.UNCONFIGURED);
     }
 
-    private String statusPath() {
+    private String healthPath() {
         return target.register()
                 .current()
                 .flatMap(
--- a/relay/src/main/java/org/damaskmoor/relay/internal/entry/CallFrames.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/CallFrames.java
@@ -37,9 +37,9 @@
     }
 
     /** Until when the answer has its full worth. */
-    long goalAt() {
-        return route.goalMilliseconds() > 0
-                ? request.arrivedAt() + route.goalMilliseconds()
+    long objectiveAt() {
+        return route.objectiveMilliseconds() > 0
+                ? request.arrivedAt() + route.objectiveMilliseconds()
                 : limitAt;
     }
 
@@ -62,7 +62,7 @@
                 .setBody(request.body())
                 .setCallerRequestId(request.id())
                 .setRemainingMilliseconds((int) Math.max(1, limitAt - now))
-                .setGoalMilliseconds((int) Math.max(0, goalAt() - now))
+                .setObjectiveMilliseconds((int) Math.max(0, objectiveAt() - now))
                 .setPriority(route.priority())
                 .setNonIdempotent(!route.idempotent())
                 .setCallerService(context.service().value())
--- a/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
@@ -57,8 +57,8 @@
     /** When a caller may come again if no target has told when room is expected. */
     private static final long USUAL_RETRY_AFTER_MILLISECONDS = 250;
 
-    /** Least time to the goal that placement goes by, once the goal has passed. */
-    private static final double LEAST_GOAL_MILLISECONDS = 50;
+    /** Least time to the objective that placement goes by, once the objective has passed. */
+    private static final double LEAST_OBJECTIVE_MILLISECONDS = 50;
 
     /** Headers of a call and framing of both ways, in bytes. */
     private static final int USUAL_HEAD_BYTES = 300;
@@ -329,10 +329,11 @@
     }
 
     private WorkView work() {
-        double goal = Math.max(LEAST_GOAL_MILLISECONDS, (double) (frames.goalAt() - now()));
+        double objective =
+                Math.max(LEAST_OBJECTIVE_MILLISECONDS, (double) (frames.objectiveAt() - now()));
         return new WorkView(
                 context.usualWork().milliseconds(route.name()),
-                goal,
+                objective,
                 context.usualWork().kilobytes(route.name()));
     }
 
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/SpeedChecks.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/SpeedChecks.java
@@ -70,7 +70,7 @@
         if (asking) {
             return true;
         }
-        String path = events.statusPath();
+        String path = events.healthPath();
         if (path.isEmpty() || !bound.tryTake(timers.now())) {
             return false;
         }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetCall.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetCall.java
@@ -46,7 +46,7 @@
         return new WaitingCall<>(
                 this,
                 call.getPriority(),
-                arrivedAt + call.getGoalMilliseconds(),
+                arrivedAt + call.getObjectiveMilliseconds(),
                 deadlineAt,
                 call.getUsualMilliseconds(),
                 call.getSpareMilliseconds(),
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetDesk.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetDesk.java
@@ -147,7 +147,7 @@
         ledger.expire(nanoseconds(timers.now()));
     }
 
-    /** The upstream's present lifetime and what is known of it. */
+    /** The upstream's present incarnation and what is known of it. */
     public UpstreamRegister register() {
         return register;
     }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetEvents.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetEvents.java
@@ -11,8 +11,8 @@
     /** Whether a request that began on this VM has failed since then. */
     boolean failedSince(long time);
 
-    /** Path of the upstream's status check; empty when there is none. */
-    String statusPath();
+    /** Path of the upstream's health check; empty when there is none. */
+    String healthPath();
 
     /** The upstream crashed while these requests ran. */
     void crashed(Collection<RequestFingerprint> running);
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnection.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnection.java
@@ -64,7 +64,7 @@
         written = channel.writeAndFlush(request);
     }
 
-    /** Sends a status check; its load comes once, empty when there is none. */
+    /** Sends a health check; its load comes once, empty when there is none. */
     void check(FullHttpRequest request, Consumer<Optional<UpstreamLoad>> told) {
         checking = true;
         send("", request, outcome -> told.accept(load(outcome)));
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamPool.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamPool.java
@@ -36,7 +36,7 @@
     private static final int MOST_LINE_BYTES = 16 * 1024;
     private static final int CHUNK_BYTES = 64 * 1024;
 
-    /** Longest wait for a status check, which a call may be waiting for. */
+    /** Longest wait for a health check, which a call may be waiting for. */
     private static final long CHECK_TIMEOUT_MILLISECONDS = 30;
 
     /** Idle time after which an upstream may close a connection that told no time of its own. */
@@ -98,7 +98,7 @@
 
     /** Asks the upstream how it is; empty when it does not tell in time. */
     void check(String path, Consumer<Optional<UpstreamLoad>> told) {
-        StatusCheck check = new StatusCheck(path, told);
+        HealthCheck check = new HealthCheck(path, told);
         UpstreamConnection kept = takeIdle(false);
         if (kept != null) {
             check.on(kept);
@@ -179,12 +179,12 @@
         return channel.pipeline().get(UpstreamConnection.class);
     }
 
-    private final class StatusCheck {
+    private final class HealthCheck {
         private final String path;
         private final Consumer<Optional<UpstreamLoad>> told;
         private boolean ended;
 
-        StatusCheck(String path, Consumer<Optional<UpstreamLoad>> told) {
+        HealthCheck(String path, Consumer<Optional<UpstreamLoad>> told) {
             this.path = path;
             this.told = told;
         }
@@ -198,7 +198,7 @@
         }
 
         void on(UpstreamConnection connection) {
-            connection.check(UpstreamRequest.statusCheck(path, address), this::end);
+            connection.check(UpstreamRequest.healthCheck(path, address), this::end);
             timers.after(
                     CHECK_TIMEOUT_MILLISECONDS,
                     () -> {
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamRequest.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamRequest.java
@@ -21,7 +21,7 @@
 
     private UpstreamRequest() {}
 
-    static FullHttpRequest statusCheck(String path, InetSocketAddress upstream) {
+    static FullHttpRequest healthCheck(String path, InetSocketAddress upstream) {
         FullHttpRequest request =
                 new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
         request.headers()
--- a/relay/src/test/java/org/damaskmoor/relay/RelaySettingsReaderTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/RelaySettingsReaderTest.java
@@ -60,7 +60,7 @@
         properties.setProperty("retry-ratio", "0.2");
         properties.setProperty("retry-slack", "64");
         properties.setProperty("retry-window", "10s");
-        properties.setProperty("status-checks-per-second", "60");
+        properties.setProperty("health-checks-per-second", "60");
         return properties;
     }
 }
