--- a/core/src/main/java/org/damaskmoor/core/placement/TargetEstimate.java
+++ b/core/src/main/java/org/damaskmoor/core/placement/TargetEstimate.java
@@ -42,11 +42,6 @@
         return nearness;
     }
 
-    /** Calls of this node that are there. */
-    public int ownInFlight() {
-        return ownInFlight;
-    }
-
     /** A report came. */
     public void hear(LoadSnapshot news, long now) {
         report = news;
--- a/core/src/main/java/org/damaskmoor/core/upstream/UpstreamRegister.java
+++ b/core/src/main/java/org/damaskmoor/core/upstream/UpstreamRegister.java
@@ -26,7 +26,6 @@
     private boolean leaving;
     private long leavingSince;
     private boolean down;
-    private long coldUntil;
 
     /**
      * Creates a register without an upstream.
@@ -55,7 +54,6 @@
         boolean sameIncarnation = current != null && news.isSameIncarnation(current);
         boolean wasDown = down;
         current = news;
-        coldUntil = now + news.coldMilliseconds();
         if (!sameIncarnation) {
             leaving = false;
         }
@@ -132,9 +130,4 @@
         boolean inTime = now < leavingSince + drainMilliseconds - DRAIN_MARGIN_MILLISECONDS;
         return current != null && (!leaving || inTime);
     }
-
-    /** How much longer it is slow after its start, in milliseconds. */
-    public long coldMilliseconds(long now) {
-        return Math.max(0, coldUntil - now);
-    }
 }
--- a/core/src/main/java/org/damaskmoor/core/waiting/WaitingRoom.java
+++ b/core/src/main/java/org/damaskmoor/core/waiting/WaitingRoom.java
@@ -91,11 +91,6 @@
         return waiting.size();
     }
 
-    /** Mean of recent service times, in milliseconds. */
-    public double serviceMilliseconds() {
-        return serviceMilliseconds;
-    }
-
     /**
      * A call asks to run.
      *
--- a/relay/src/main/java/org/damaskmoor/relay/internal/entry/CallFrames.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/CallFrames.java
@@ -43,11 +43,7 @@
                 : limitAt;
     }
 
-    ForwardedCall call(
-            int attempt,
-            TargetChooser.Choice<FleetTarget> choice,
-            boolean lastChoice,
-            boolean repeated) {
+    ForwardedCall call(int attempt, TargetChooser.Choice<FleetTarget> choice, boolean lastChoice) {
         long now = context.timers().now();
         double slowness = choice.target().estimate().steadySlowness();
         double spare = Math.min(MOST_SPARE_MILLISECONDS, choice.spareMilliseconds());
@@ -70,7 +66,6 @@
                 .setLastChoice(lastChoice)
                 .setExpectedSlownessPercent((int) Math.round(slowness * PERCENT))
                 .setSpareMilliseconds((int) spare)
-                .setRepeated(repeated)
                 .build();
     }
 }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
@@ -292,9 +292,8 @@
             attempts.put(
                     attempt.attempt(), new SentAttempt(attempt.attempt(), target, targetId, now()));
             tried.add(target.node());
-            boolean repeated = atUpstream > 0;
             atUpstream++;
-            target.link().send(frames.call(attempt.attempt(), choice, lastChoice, repeated));
+            target.link().send(frames.call(attempt.attempt(), choice, lastChoice));
         }
     }
 
--- a/relay/src/main/java/org/damaskmoor/relay/internal/fleet/FleetDirectory.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/FleetDirectory.java
@@ -47,7 +47,7 @@
     private final EventLog log;
     private final Map<NodeId, FleetTarget> targets = new HashMap<>();
     private final Map<ServiceName, List<FleetTarget>> byService = new HashMap<>();
-    private final Map<NodeId, Long> storedVersions = new HashMap<>();
+    private final Set<NodeId> stored = new HashSet<>();
     private boolean snapshotSeen;
 
     /** Makes the link to a node. */
@@ -126,16 +126,10 @@
     @Override
     public void onSnapshot(List<StoredRow> rows) {
         snapshotSeen = true;
-        Set<NodeId> stored = new HashSet<>();
-        for (StoredRow row : rows) {
-            onChange(row);
-            stored.add(new NodeId(row.key()));
-        }
-        for (NodeId node : List.copyOf(targets.keySet())) {
-            if (!stored.contains(node) && storedVersions.containsKey(node)) {
-                remove(node);
-            }
-        }
+        Set<NodeId> former = Set.copyOf(stored);
+        stored.clear();
+        rows.forEach(this::onChange);
+        former.stream().filter(node -> !stored.contains(node)).forEach(this::remove);
     }
 
     @Override
@@ -148,9 +142,9 @@
             remove(node);
             return;
         }
+        stored.add(node);
         try {
             FleetMember member = FleetMember.parseFrom(row.value());
-            storedVersions.put(node, row.version());
             if (member.getNodeId().equals(node.value())) {
                 apply(member);
             }
@@ -236,7 +230,7 @@
     }
 
     private void remove(NodeId node) {
-        storedVersions.remove(node);
+        stored.remove(node);
         if (node.equals(self)) {
             return;
         }
