Give each call to the upstream a connection of its own in the node

Cause: the node's HTTP client hands an answer that comes twice or late on a kept connection to the next call, and takes an interim answer for the final one. Both are answers that are not the caller's own. Ruled out: a body cut short (tested, reported as a failure). Change: no kept connections to the upstream, 'Expect' is not passed on, an interim answer is a failure.

--- a/node/src/main/java/org/damaskmoor/node/internal/target/HttpUpstreamClient.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/target/HttpUpstreamClient.java
@@ -24,22 +24,26 @@
 /**
  * Sends calls to the upstream over HTTP with the ActiveJ client.
  *
- * <p>Confined to the upstream event loop. Invariant: a call is written to one connection at most;
- * it is never repeated here.
+ * <p>Each call has a connection of its own: the client would give an answer that came late or twice
+ * on a kept connection to the next call.
+ *
+ * <p>Confined to the upstream event loop. Invariants: a call is written to one connection at most;
+ * it is never repeated here; an interim answer is never taken for the final one.
  */
 final class HttpUpstreamClient implements UpstreamClient {
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
-    private static final Duration KEEP_ALIVE = Duration.ofSeconds(5);
     private static final Duration READ_WRITE_TIMEOUT = Duration.ofMinutes(10);
     private static final int SERVICE_UNAVAILABLE = 503;
+    private static final int LEAST_FINAL_STATUS = 200;
 
-    /** Added by this node; what the caller sent under these names is not passed on. */
+    /** Settled by this node; what the caller sent under these names is not passed on. */
     private static final List<String> OWN_FIELDS =
             List.of(
                     "Damaskmoor-Request-Id",
                     "Damaskmoor-Deadline-Ms",
                     "Damaskmoor-Caller",
-                    "Accept-Encoding");
+                    "Accept-Encoding",
+                    "Expect");
 
     private final Eventloop loop;
     private final int maximumBodyBytes;
@@ -52,7 +56,7 @@
         this.client =
                 HttpClient.builder(loop, new AddressLookup(loop))
                         .withConnectTimeout(CONNECT_TIMEOUT)
-                        .withKeepAliveTimeout(KEEP_ALIVE)
+                        .withNoKeepAlive()
                         .withReadWriteTimeout(READ_WRITE_TIMEOUT)
                         .withMaxBodySize(maximumBodyBytes)
                         .withInspector(connectFailures)
@@ -98,6 +102,10 @@
     }
 
     private static UpstreamOutcome outcome(HttpResponse response, ByteBuf body) {
+        if (response.getCode() < LEAST_FINAL_STATUS) {
+            String detail = "interim answer " + response.getCode() + " in place of the final one";
+            return new UpstreamOutcome.Failed(detail, true);
+        }
         if (isNotRun(response)) {
             boolean below =
                     response.getHeader(HttpHeaders.of(OutcomeReplies.REFUSED_BELOW_FIELD)) != null;
@@ -131,9 +139,7 @@
         request.withHeader(
                 HttpHeaders.of("Damaskmoor-Deadline-Ms"), Long.toString(remainingMilliseconds));
         request.withHeader(HttpHeaders.of("Damaskmoor-Caller"), call.getCaller());
-        if (call.getMethod().equals("HEAD")) {
-            request.withHeader(HttpHeaders.CONNECTION, "close");
-        }
+        request.withHeader(HttpHeaders.CONNECTION, "close");
         if (!call.getBody().isEmpty()) {
             request.withBody(call.getBody().toByteArray());
         }
