Copy the head of a caller's request before its body is read

The request arrived there without its own fields: the HTTP library keeps field names in the buffer that also holds the body, returns the buffer to the process's pool when the body has been taken, and another thread may write into it before the node copies the fields. The gap is long while code is not yet compiled: every case was one of the first requests of a node (numbers 1, 2, 9, 18, 72, 104). Change: the head is copied when the request arrives. Test: should_pass_on_all_fields_while_other_threads_use_buffers fails on the code before (one run), passes after.

--- a/node/src/main/java/org/damaskmoor/node/internal/http/CallerRequest.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/http/CallerRequest.java
@@ -28,6 +28,19 @@
         InetAddress remote,
         long arrivalNanoseconds) {
 
+    /** The same request with its body, which was whole at the given time. */
+    CallerRequest withBody(byte[] whole, long wholeNanoseconds) {
+        return new CallerRequest(
+                method,
+                path,
+                target,
+                host,
+                headers,
+                ByteString.copyFrom(whole),
+                remote,
+                wholeNanoseconds);
+    }
+
     /** The first value of a field, or an empty text. */
     public String header(String name) {
         for (HeaderField field : headers) {
--- a/node/src/main/java/org/damaskmoor/node/internal/http/CallerServer.java
+++ b/node/src/main/java/org/damaskmoor/node/internal/http/CallerServer.java
@@ -141,6 +141,8 @@
     private void readBody(
             HttpRequest request, CallerSocket socket, SettablePromise<HttpResponse> response) {
         String caller = RequestChecks.callerName(request);
+        boolean head = request.getMethod() == HttpMethod.HEAD;
+        CallerRequest withoutBody = withoutBody(request);
         socket.whenMalformed(() -> refusals.refuse(socket, caller, RefusalReason.MALFORMED));
         socket.bodyWanted(true);
         BodyReader.read(
@@ -149,7 +151,8 @@
                 limits.bodyBytes(),
                 body -> {
                     socket.bodyWanted(false);
-                    dispatch(request, body, socket, response);
+                    CallerRequest whole = withoutBody.withBody(body, clock.getAsLong());
+                    dispatch(whole, head, socket, response);
                 },
                 reason -> {
                     refusals.refuse(socket, caller, reason);
@@ -158,14 +161,13 @@
     }
 
     private void dispatch(
-            HttpRequest request,
-            byte[] body,
+            CallerRequest request,
+            boolean head,
             CallerSocket socket,
             SettablePromise<HttpResponse> response) {
-        boolean head = request.getMethod() == HttpMethod.HEAD;
         Runnable cancellation =
                 handler.handle(
-                        callerRequest(request, body),
+                        request,
                         reply -> {
                             socket.unwatch();
                             response.trySet(response(reply, head, socket));
@@ -179,7 +181,11 @@
         }
     }
 
-    private CallerRequest callerRequest(HttpRequest request, byte[] body) {
+    /**
+     * Copies the head of a request. To be called before its body is read: the library returns the
+     * buffer that holds both to its pool with the body, and other threads write into it.
+     */
+    private CallerRequest withoutBody(HttpRequest request) {
         String host = request.getHeader(HttpHeaders.HOST);
         return new CallerRequest(
                 request.getMethod().name(),
@@ -187,7 +193,7 @@
                 request.getPathAndQuery(),
                 CallerRequest.hostWithoutPort(host == null ? "" : host),
                 HeaderFields.endToEnd(request),
-                ByteString.copyFrom(body),
+                ByteString.EMPTY,
                 request.getRemoteAddress(),
                 clock.getAsLong());
     }
--- a/node/src/test/java/org/damaskmoor/node/AnswersTest.java
+++ b/node/src/test/java/org/damaskmoor/node/AnswersTest.java
@@ -3,11 +3,20 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.sun.net.httpserver.HttpExchange;
+import io.activej.bytebuf.ByteBuf;
+import io.activej.bytebuf.ByteBufPool;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.zip.GZIPOutputStream;
 import org.damaskmoor.node.fixture.FakeTableService;
 import org.damaskmoor.node.fixture.FakeUpstream;
@@ -22,6 +31,10 @@
 
 final class AnswersTest {
     private static final String HOST = " HTTP/1.1\r\nHost: besuch.bern.example\r\n";
+    private static final int CALLERS = 6;
+    private static final int REQUESTS = 300;
+    private static final int SMALLEST_BUFFER = 64;
+    private static final int LARGEST_BUFFER = 64 * 1024;
     private static final CountDownLatch RELEASED = new CountDownLatch(1);
 
     private static FakeTableService tables;
@@ -57,6 +70,10 @@
                 exchange.getResponseHeaders().set("Content-Encoding", "gzip");
                 send(exchange, 200, gzip("packed".getBytes(StandardCharsets.UTF_8)));
             }
+            case "/nonce" -> {
+                String nonce = exchange.getRequestHeaders().getFirst("Nonce");
+                send(exchange, 200, String.valueOf(nonce).getBytes(StandardCharsets.UTF_8));
+            }
             case "/204" -> exchange.sendResponseHeaders(204, -1);
             case "/304" -> exchange.sendResponseHeaders(304, -1);
             case "/wait" -> {
@@ -119,6 +136,54 @@
         }
     }
 
+    @Test
+    void should_pass_on_all_fields_while_other_threads_use_buffers() throws Exception {
+        // given another thread of the process that takes and returns buffers of the HTTP library
+        ExecutorService callers = Executors.newFixedThreadPool(CALLERS + 1);
+        AtomicBoolean ended = new AtomicBoolean();
+        callers.execute(() -> useBuffersUntil(ended));
+
+        // when
+        List<Future<List<String>>> wrong = new ArrayList<>();
+        for (int i = 0; i < CALLERS; i++) {
+            String name = "caller-" + i;
+            wrong.add(callers.submit(() -> wrongNonces(name)));
+        }
+
+        // then
+        for (Future<List<String>> found : wrong) {
+            assertThat(found.get()).isEmpty();
+        }
+        ended.set(true);
+        callers.shutdown();
+    }
+
+    private static void useBuffersUntil(AtomicBoolean ended) {
+        while (!ended.get()) {
+            for (int size = SMALLEST_BUFFER; size <= LARGEST_BUFFER; size *= 2) {
+                ByteBuf buffer = ByteBufPool.allocate(size);
+                Arrays.fill(buffer.array(), (byte) '?');
+                buffer.recycle();
+            }
+        }
+    }
+
+    private static List<String> wrongNonces(String name) throws Exception {
+        List<String> wrong = new ArrayList<>();
+        try (RawClient client = new RawClient(node.port())) {
+            for (int i = 0; i < REQUESTS; i++) {
+                String nonce = name + "-" + i;
+                client.send("POST /nonce" + HOST + "Nonce: " + nonce + "\r\nContent-Length: 20");
+                client.send("\r\n\r\n0123456789abcdefghij");
+                String answer = client.readAnswer();
+                if (!answer.endsWith("\r\n\r\n" + nonce)) {
+                    wrong.add(answer);
+                }
+            }
+        }
+        return wrong;
+    }
+
     @Test
     void should_answer_whole_and_unpacked_when_upstream_packs() {
         // when
