Let one relay of each data centre read the store for the others

Cause: each change of the configuration costs a call to the store for every relay; members had readers for a region. Change: ReaderElection (core, pure): the first node of a data centre in the order of hashes reads both tables closely, tells the others, and sends a sign every 0.6 s; the next one takes over after 1.4 s of silence. A node that hears of no reader asks for itself. A sign carries the version in force, so that a lost message or a store that is silent to one reader is noticed. While the store is away, nodes that hear a reader ask it and their peers less often.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/LocalLink.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/LocalLink.java
@@ -8,7 +8,9 @@
 import org.damaskmoor.schema.link.CallCancel;
 import org.damaskmoor.schema.link.CallSeal;
 import org.damaskmoor.schema.link.FleetNews;
+import org.damaskmoor.schema.link.FleetRequest;
 import org.damaskmoor.schema.link.ForwardedCall;
+import org.damaskmoor.schema.link.ReaderSign;
 
 /** The way from this node's entry to its own target. Confined to the event loop. */
 final class LocalLink implements CallLink {
@@ -60,7 +62,12 @@
     }
 
     @Override
-    public void requestNews(long configurationVersion) {
+    public void send(ReaderSign sign) {
+        // What this node knows, it knows.
+    }
+
+    @Override
+    public void send(FleetRequest request) {
         // What this node knows, it knows.
     }
 
--- a/relay/src/main/java/org/damaskmoor/relay/internal/MemberRows.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/MemberRows.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.random.RandomGenerator;
 import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.platform.machines.StoredRow;
 import org.damaskmoor.relay.internal.fleet.FleetDirectory;
@@ -10,36 +9,25 @@
 import org.damaskmoor.relay.internal.fleet.OwnRecord;
 import org.damaskmoor.relay.internal.fleet.TableWatch;
 import org.damaskmoor.schema.link.FleetMember;
+import org.damaskmoor.schema.link.FleetNews;
 
 /**
- * Tells the store's records of members to the directory, the own one to its writer, and, on the
- * readers of a region, changes to the other nodes.
+ * Leads the store's records of nodes to those that keep them: the directory, this node's own
+ * record, and through the reader of a data centre its other nodes.
  *
- * <p>Confined to the event loop.
+ * <p>Confined to the event loop. Invariant: only a reader tells others.
  */
 final class MemberRows implements TableWatch.Listener {
-    /** Changes of members within this time cost one call to the store. */
-    private static final long READER_REST_MILLISECONDS = 400;
-
-    /** How long a node that hears of members from its region's readers leaves the store alone. */
-    private static final long OTHERS_REST_MILLISECONDS = 8000;
-
     private final NodeId self;
     private final FleetDirectory fleet;
     private final OwnRecord ownRecord;
-    private final RandomGenerator random;
+    private final StoreReading reading;
 
-    MemberRows(NodeId self, FleetDirectory fleet, OwnRecord ownRecord, RandomGenerator random) {
+    MemberRows(NodeId self, FleetDirectory fleet, OwnRecord ownRecord, StoreReading reading) {
         this.self = self;
         this.fleet = fleet;
         this.ownRecord = ownRecord;
-        this.random = random;
-    }
-
-    /** Milliseconds between a change and the next question. */
-    long rest() {
-        long rest = fleet.isReader() ? READER_REST_MILLISECONDS : OTHERS_REST_MILLISECONDS;
-        return rest / 2 + random.nextLong(rest);
+        this.reading = reading;
     }
 
     @Override
@@ -55,8 +43,10 @@
         fleet.onChange(row);
         if (row.key().equals(self.value())) {
             ownRecord.onStored(row);
-        } else if (fleet.isReader() && !row.key().isEmpty()) {
-            changed(row).ifPresent(fleet::tellRegion);
+        } else if (!row.key().isEmpty()) {
+            changed(row)
+                    .map(member -> FleetNews.newBuilder().addMembers(member).build())
+                    .ifPresent(reading::tell);
         }
     }
 
--- a/relay/src/main/java/org/damaskmoor/relay/internal/NodeCallReceiver.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/NodeCallReceiver.java
@@ -13,6 +13,7 @@
 import org.damaskmoor.schema.link.FleetRequest;
 import org.damaskmoor.schema.link.ForwardedCall;
 import org.damaskmoor.schema.link.LinkHello;
+import org.damaskmoor.schema.link.ReaderSign;
 
 /** Leads what entries send to the target and the directory. Confined to the event loop. */
 final class NodeCallReceiver implements CallReceiver {
@@ -20,16 +21,19 @@
     private final Supplier<LinkHello> greeting;
     private final Function<FleetRequest, FleetNews> answerNews;
     private final Consumer<FleetNews> news;
+    private final Consumer<ReaderSign> signs;
 
     NodeCallReceiver(
             TargetDesk target,
             Supplier<LinkHello> greeting,
             Function<FleetRequest, FleetNews> answerNews,
-            Consumer<FleetNews> news) {
+            Consumer<FleetNews> news,
+            Consumer<ReaderSign> signs) {
         this.target = target;
         this.greeting = greeting;
         this.answerNews = answerNews;
         this.news = news;
+        this.signs = signs;
     }
 
     @Override
@@ -66,4 +70,9 @@
     public void onNews(FleetNews told) {
         news.accept(told);
     }
+
+    @Override
+    public void onSign(ReaderSign sign) {
+        signs.accept(sign);
+    }
 }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/PeerNews.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/PeerNews.java
@@ -26,25 +26,32 @@
     /** Peers asked each time, so that one that is itself cut off does not matter. */
     private static final int PEERS = 2;
 
+    /** Periods between questions while a reader is heard, which tells what it learns. */
+    private static final int PERIODS_WITH_READER = 4;
+
     private final FleetDirectory fleet;
     private final ConfigurationHolder configuration;
     private final CrashBoard crashes;
     private final BooleanSupplier storeLost;
+    private final BooleanSupplier readerHeard;
     private final Timers timers;
     private final RandomGenerator random;
     private final List<CallLink> seeds = new ArrayList<>();
+    private int periods;
 
     PeerNews(
             FleetDirectory fleet,
             ConfigurationHolder configuration,
             CrashBoard crashes,
             BooleanSupplier storeLost,
+            BooleanSupplier readerHeard,
             Timers timers,
             RandomGenerator random) {
         this.fleet = fleet;
         this.configuration = configuration;
         this.crashes = crashes;
         this.storeLost = storeLost;
+        this.readerHeard = readerHeard;
         this.timers = timers;
         this.random = random;
     }
@@ -60,10 +67,16 @@
     }
 
     private void ask() {
-        if (storeLost.getAsBoolean()) {
+        periods++;
+        boolean seldom = readerHeard.getAsBoolean() && configuration.version() > 0;
+        if (storeLost.getAsBoolean() && (!seldom || periods % PERIODS_WITH_READER == 0)) {
+            FleetRequest request =
+                    FleetRequest.newBuilder()
+                            .setConfigurationVersion(configuration.version())
+                            .build();
             List<CallLink> links = reachable();
             for (int i = 0; i < PEERS && !links.isEmpty(); i++) {
-                links.remove(random.nextInt(links.size())).requestNews(configuration.version());
+                links.remove(random.nextInt(links.size())).send(request);
             }
         }
         timers.after(PERIOD_MILLISECONDS, this::ask);
@@ -87,11 +100,14 @@
 
     /** What this node knows, for a peer that asks. */
     FleetNews news(FleetRequest request) {
-        FleetNews.Builder news = FleetNews.newBuilder().addAllCrashes(crashes.records());
+        FleetNews.Builder news = FleetNews.newBuilder();
         if (configuration.version() > request.getConfigurationVersion()) {
             news.setConfiguration(configuration.text());
         }
-        fleet.all().forEach(target -> news.addMembers(target.member()));
+        if (!request.getConfigurationOnly()) {
+            news.addAllCrashes(crashes.records());
+            fleet.all().forEach(target -> news.addMembers(target.member()));
+        }
         return news.build();
     }
 }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
@@ -63,9 +63,6 @@
     private static final int LEDGER_FENCES = 1024;
     private static final long TICK_MILLISECONDS = 1000;
 
-    /** Changes of the configuration within this time cost one call to the store. */
-    private static final long CONFIGURATION_REST_MILLISECONDS = 600;
-
     /** Time for the last replies to be written before connections are closed. */
     private static final long LAST_REPLIES_MILLISECONDS = 50;
 
@@ -84,6 +81,7 @@
     private final OwnRecord ownRecord;
     private final TableWatch memberWatch;
     private final TableWatch configurationWatch;
+    private final StoreReading reading;
     private final PeerNews peerNews;
     private final LinkDialer dialer;
     private final NodePorts ports;
@@ -105,21 +103,33 @@
         this.configuration = new ConfigurationHolder(log, this::onConfiguration);
         RowStore store = new HttpRowStore(loop, settings.store());
         this.ownRecord = new OwnRecord(self, store, timers, random, log);
-        MemberRows members = new MemberRows(self, fleet, ownRecord, random);
-        this.memberWatch =
-                new TableWatch(
-                        FleetDirectory.TABLE, store, timers, random, log, members, members::rest);
+        this.reading =
+                new StoreReading(
+                        self,
+                        fleet,
+                        configuration,
+                        this::isStoreLost,
+                        this::askStoreNow,
+                        timers,
+                        random,
+                        log);
+        MemberRows members = new MemberRows(self, fleet, ownRecord, reading);
+        this.memberWatch = tableWatch(FleetDirectory.TABLE, store, members, reading.memberPace());
         this.configurationWatch =
-                new TableWatch(
+                tableWatch(
                         ConfigurationDecoder.TABLE,
                         store,
-                        timers,
-                        random,
-                        log,
                         configuration,
-                        () -> CONFIGURATION_REST_MILLISECONDS);
+                        reading.configurationPace());
         this.peerNews =
-                new PeerNews(fleet, configuration, crashes, this::isStoreLost, timers, random);
+                new PeerNews(
+                        fleet,
+                        configuration,
+                        crashes,
+                        this::isStoreLost,
+                        reading::hearsReader,
+                        timers,
+                        random);
         this.ports = ports(loop);
         this.stop = new GracefulStop(timers, settings.stopMilliseconds());
         metrics.gauge("open-requests", entry::openRequests);
@@ -127,6 +137,16 @@
         metrics.gauge("configuration-version", this::configurationVersion);
     }
 
+    private TableWatch tableWatch(
+            String table, RowStore store, TableWatch.Listener listener, TableWatch.Pace pace) {
+        return new TableWatch(table, store, timers, random, log, listener, pace);
+    }
+
+    private void askStoreNow() {
+        configurationWatch.askNow();
+        memberWatch.askNow();
+    }
+
     private TargetDesk targetDesk(EventLoop loop) {
         return new TargetDesk(
                 incarnation,
@@ -178,7 +198,8 @@
 
     private NodePorts ports(EventLoop loop) {
         NodeCallReceiver receiver =
-                new NodeCallReceiver(target, this::greeting, peerNews::news, this::merge);
+                new NodeCallReceiver(
+                        target, this::greeting, peerNews::news, this::merge, reading::onSign);
         CallerServer callers =
                 new CallerServer(
                         loop,
@@ -213,6 +234,7 @@
     private void begin() {
         configurationWatch.start();
         memberWatch.start();
+        reading.start();
         peerNews.start(
                 settings.seeds(),
                 settings.links().getPort(),
@@ -275,6 +297,7 @@
 
     private void onConfiguration(RouteTable table) {
         entry.configure(table);
+        reading.onConfiguration();
     }
 
     private void onUpstreamChanged() {
--- /dev/null
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/StoreReading.java
@@ -0,0 +1,222 @@
+package org.damaskmoor.relay.internal;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.random.RandomGenerator;
+import org.damaskmoor.core.hash.StableHash;
+import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.core.readers.ReaderElection;
+import org.damaskmoor.relay.internal.fleet.ConfigurationHolder;
+import org.damaskmoor.relay.internal.fleet.FleetDirectory;
+import org.damaskmoor.relay.internal.fleet.FleetTarget;
+import org.damaskmoor.relay.internal.fleet.TableWatch;
+import org.damaskmoor.relay.internal.log.EventLog;
+import org.damaskmoor.relay.internal.time.Timers;
+import org.damaskmoor.schema.link.FleetNews;
+import org.damaskmoor.schema.link.FleetRequest;
+import org.damaskmoor.schema.link.ReaderSign;
+
+/**
+ * Decides how closely this node asks the store: one node of a data centre reads and tells the
+ * others; each reads for itself when it hears of none.
+ *
+ * <p>Confined to the event loop. Invariant: a node that hears of no reader asks the store as
+ * closely as a reader.
+ */
+final class StoreReading {
+    /** Changes of the configuration within this time cost one call to the store. */
+    private static final long CONFIGURATION_REST_MILLISECONDS = 600;
+
+    /** Changes of members within this time cost one call to the store. */
+    private static final long MEMBER_REST_MILLISECONDS = 400;
+
+    /** How long an informed node leaves the store alone; less than the store keeps its history. */
+    private static final long INFORMED_REST_MILLISECONDS = 12_000;
+
+    private static final long INFORMED_REST_SPREAD_MILLISECONDS = 4000;
+
+    /** Longest pause between attempts while the store does not answer: it is to be missed soon. */
+    private static final long READER_PAUSE_MILLISECONDS = 1200;
+
+    /** The same for a node that hears a reader, which tells it when the store is back. */
+    private static final long OTHERS_PAUSE_MILLISECONDS = 4000;
+
+    /** Nodes of each other data centre that get signs: two, so that one may be lost. */
+    private static final int SIGNS_ELSEWHERE = 2;
+
+    /** Time for a configuration to arrive from the reader of the own data centre. */
+    private static final long TELLING_MILLISECONDS = 150;
+
+    /** Nodes that learn at once that the store is back ask it within this time. */
+    private static final long RETURN_SPREAD_MILLISECONDS = 400;
+
+    private final NodeId self;
+    private final ReaderElection election;
+    private final FleetDirectory fleet;
+    private final ConfigurationHolder configuration;
+    private final BooleanSupplier storeLost;
+    private final Runnable askStoreNow;
+    private final Timers timers;
+    private final RandomGenerator random;
+    private final EventLog log;
+    private boolean informed;
+    private boolean reader;
+
+    StoreReading(
+            NodeId self,
+            FleetDirectory fleet,
+            ConfigurationHolder configuration,
+            BooleanSupplier storeLost,
+            Runnable askStoreNow,
+            Timers timers,
+            RandomGenerator random,
+            EventLog log) {
+        this.self = self;
+        this.election = new ReaderElection(self, timers.now());
+        this.fleet = fleet;
+        this.configuration = configuration;
+        this.storeLost = storeLost;
+        this.askStoreNow = askStoreNow;
+        this.timers = timers;
+        this.random = random;
+        this.log = log;
+    }
+
+    /** Begins to send signs, or to notice that none come. */
+    void start() {
+        boolean reads = isReader();
+        if (reads != reader) {
+            reader = reads;
+            log.event("store-reader").with("reads", reads).write();
+        }
+        if (reads) {
+            sendSigns();
+        }
+        noteInformed();
+        timers.after(ReaderElection.PERIOD_MILLISECONDS, this::start);
+    }
+
+    /** A reader sent a sign. */
+    void onSign(ReaderSign sign) {
+        if (sign.getNodeId().isEmpty()) {
+            return;
+        }
+        NodeId sender = new NodeId(sign.getNodeId());
+        election.heard(sender, sign.getStoreAnswers(), timers.now());
+        noteInformed();
+        if (sign.getConfigurationVersion() > configuration.version()) {
+            timers.after(TELLING_MILLISECONDS, () -> askForConfiguration(sender, sign));
+        }
+    }
+
+    /** A newer configuration is in force here. */
+    void onConfiguration() {
+        if (isReader()) {
+            tell(FleetNews.newBuilder().setConfiguration(configuration.text()).build());
+            sendSigns();
+        }
+    }
+
+    /** Tells the data centre, if this node reads for it. */
+    void tell(FleetNews news) {
+        if (isReader()) {
+            fleet.inDataCentre().forEach(target -> target.link().send(news));
+        }
+    }
+
+    /** Whether a reader is heard, whether or not the store answers it. */
+    boolean hearsReader() {
+        return election.hearsReader(timers.now());
+    }
+
+    /** How closely the configuration is asked for. */
+    TableWatch.Pace configurationPace() {
+        return pace(CONFIGURATION_REST_MILLISECONDS);
+    }
+
+    /** How closely members are asked for. */
+    TableWatch.Pace memberPace() {
+        return pace(MEMBER_REST_MILLISECONDS);
+    }
+
+    private TableWatch.Pace pace(long closeRest) {
+        return new TableWatch.Pace() {
+            @Override
+            public long restMilliseconds() {
+                if (isReader() || !election.isInformed(timers.now())) {
+                    return closeRest;
+                }
+                return INFORMED_REST_MILLISECONDS
+                        + random.nextLong(INFORMED_REST_SPREAD_MILLISECONDS);
+            }
+
+            @Override
+            public long longestPauseMilliseconds() {
+                boolean relies = hearsReader() && !isReader();
+                return relies ? OTHERS_PAUSE_MILLISECONDS : READER_PAUSE_MILLISECONDS;
+            }
+        };
+    }
+
+    private boolean isReader() {
+        List<NodeId> dataCentre = new ArrayList<>();
+        fleet.inDataCentre().forEach(target -> dataCentre.add(target.node()));
+        return election.isReader(dataCentre, timers.now());
+    }
+
+    private void noteInformed() {
+        boolean former = informed;
+        informed = election.isInformed(timers.now());
+        if (former != informed) {
+            log.event("store-informed").with("by_reader", informed).write();
+        }
+        if (former && !informed) {
+            askStoreNow.run();
+        } else if (!former && informed && storeLost.getAsBoolean()) {
+            timers.after(random.nextLong(RETURN_SPREAD_MILLISECONDS), askStoreNow);
+        }
+    }
+
+    private void askForConfiguration(NodeId sender, ReaderSign sign) {
+        if (sign.getConfigurationVersion() > configuration.version()) {
+            FleetRequest request =
+                    FleetRequest.newBuilder()
+                            .setConfigurationVersion(configuration.version())
+                            .setConfigurationOnly(true)
+                            .build();
+            fleet.find(sender).ifPresent(target -> target.link().send(request));
+        }
+    }
+
+    private void sendSigns() {
+        ReaderSign sign =
+                ReaderSign.newBuilder()
+                        .setNodeId(self.value())
+                        .setConfigurationVersion(configuration.version())
+                        .setStoreAnswers(!storeLost.getAsBoolean())
+                        .build();
+        fleet.inDataCentre().forEach(target -> target.link().send(sign));
+        firstOfEachOther().forEach(target -> target.link().send(sign));
+    }
+
+    /** The nodes of the other data centres that are most likely to be their readers. */
+    private Collection<FleetTarget> firstOfEachOther() {
+        Map<String, List<FleetTarget>> byDataCentre = new HashMap<>();
+        for (FleetTarget target : fleet.elsewhereInRegion()) {
+            byDataCentre
+                    .computeIfAbsent(target.member().getDataCentre(), name -> new ArrayList<>())
+                    .add(target);
+        }
+        List<FleetTarget> first = new ArrayList<>();
+        for (List<FleetTarget> targets : byDataCentre.values()) {
+            targets.sort(Comparator.comparingLong(t -> StableHash.of(t.node().value())));
+            first.addAll(targets.subList(0, Math.min(SIGNS_ELSEWHERE, targets.size())));
+        }
+        return first;
+    }
+}
--- a/relay/src/main/java/org/damaskmoor/relay/internal/fleet/FleetDirectory.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/FleetDirectory.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import org.damaskmoor.core.hash.StableHash;
 import org.damaskmoor.core.id.DataCentreName;
 import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.core.id.RegionName;
@@ -23,7 +22,6 @@
 import org.damaskmoor.relay.internal.net.Addresses;
 import org.damaskmoor.relay.internal.time.Timers;
 import org.damaskmoor.schema.link.FleetMember;
-import org.damaskmoor.schema.link.FleetNews;
 import org.damaskmoor.schema.link.LinkHello;
 
 /**
@@ -36,9 +34,6 @@
     /** Table of the store in which each node keeps its own record, under its name. */
     public static final String TABLE = "members";
 
-    /** Nodes of a region that watch the records closely: two, so that one may be lost. */
-    private static final int READERS = 2;
-
     private final NodeId self;
     private final RegionName region;
     private final DataCentreName dataCentre;
@@ -97,30 +92,21 @@
         return snapshotSeen;
     }
 
-    /**
-     * Whether this node is one of those that tell their region what the store tells them, so that
-     * not every node has to ask the store for every change.
-     */
-    public boolean isReader() {
-        long own = StableHash.of(self.value());
-        int before = 0;
-        for (FleetTarget target : targets.values()) {
-            boolean sameRegion = target.member().getRegion().equals(region.value());
-            if (sameRegion && StableHash.of(target.node().value()) < own) {
-                before++;
-            }
-        }
-        return before < READERS;
+    /** The nodes of this node's data centre, itself included. */
+    public List<FleetTarget> inDataCentre() {
+        return targets.values().stream().filter(this::isInDataCentre).toList();
     }
 
-    /** Tells the other nodes of the region of a changed or removed record. */
-    public void tellRegion(FleetMember changed) {
-        FleetNews news = FleetNews.newBuilder().addMembers(changed).build();
-        for (FleetTarget target : targets.values()) {
-            if (target.member().getRegion().equals(region.value())) {
-                target.link().send(news);
-            }
-        }
+    /** The nodes of the other data centres of this region. */
+    public List<FleetTarget> elsewhereInRegion() {
+        return targets.values().stream()
+                .filter(target -> target.member().getRegion().equals(region.value()))
+                .filter(target -> !isInDataCentre(target))
+                .toList();
+    }
+
+    private boolean isInDataCentre(FleetTarget target) {
+        return target.member().getDataCentre().equals(dataCentre.value());
     }
 
     @Override
--- a/relay/src/main/java/org/damaskmoor/relay/internal/fleet/TableWatch.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/TableWatch.java
@@ -2,8 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletionException;
-import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.damaskmoor.platform.machines.HistoryGoneException;
 import org.damaskmoor.platform.machines.RowPage;
@@ -23,8 +23,6 @@
     /** Pause after a failure; doubles up to the greatest, with jitter against common returns. */
     private static final long LEAST_PAUSE_MILLISECONDS = 150;
 
-    private static final long GREATEST_PAUSE_MILLISECONDS = 1200;
-
     /** After a table was read, changes are asked for within this time, whatever the rest. */
     private static final long GREATEST_FIRST_REST_MILLISECONDS = 3000;
 
@@ -34,11 +32,19 @@
     private final RandomGenerator random;
     private final EventLog log;
     private final Listener listener;
-    private final LongSupplier rest;
+    private final Pace pace;
     private long pause = LEAST_PAUSE_MILLISECONDS;
+    private Optional<Rest> resting = Optional.empty();
     private boolean lost;
     private boolean stopped;
 
+    private record Rest(Timers.Cancellation timer, Runnable next) {
+        void end() {
+            timer.cancel();
+            next.run();
+        }
+    }
+
     /** Takes what the table holds. */
     public interface Listener {
         /** All rows, as of now. */
@@ -48,12 +54,16 @@
         void onChange(StoredRow row);
     }
 
-    /**
-     * Creates a watch that has not begun.
-     *
-     * @param rest milliseconds between a change and the next question, so that changes that come
-     *     together cost one call
-     */
+    /** How closely the store is asked. */
+    public interface Pace {
+        /** Time between a change and the next question: changes meanwhile cost one call. */
+        long restMilliseconds();
+
+        /** Longest pause between attempts while the store does not answer. */
+        long longestPauseMilliseconds();
+    }
+
+    /** Creates a watch that has not begun. */
     public TableWatch(
             String table,
             RowStore store,
@@ -61,8 +71,8 @@
             RandomGenerator random,
             EventLog log,
             Listener listener,
-            LongSupplier rest) {
-        this.rest = rest;
+            Pace pace) {
+        this.pace = pace;
         this.table = table;
         this.store = store;
         this.timers = timers;
@@ -81,6 +91,13 @@
         stopped = true;
     }
 
+    /** Ends the present rest or pause, if there is one, and asks the store now. */
+    public void askNow() {
+        Optional<Rest> ended = resting;
+        resting = Optional.empty();
+        ended.ifPresent(Rest::end);
+    }
+
     /** Whether the store did not answer the last time. */
     public boolean isLost() {
         return lost;
@@ -106,21 +123,12 @@
             return;
         }
         listener.onSnapshot(rows);
-        long milliseconds = Math.min(rest.getAsLong(), GREATEST_FIRST_REST_MILLISECONDS);
-        if (milliseconds > 0) {
-            timers.after(milliseconds, () -> watch(page.version()));
-        } else {
-            watch(page.version());
-        }
+        long rest = Math.min(pace.restMilliseconds(), GREATEST_FIRST_REST_MILLISECONDS);
+        rest(rest, () -> watch(page.version()));
     }
 
-    private void afterRest(RowPage page, Runnable next) {
-        long milliseconds = page.rows().isEmpty() ? 0 : rest.getAsLong();
-        if (milliseconds > 0) {
-            timers.after(milliseconds, next);
-        } else {
-            next.run();
-        }
+    private void rest(long milliseconds, Runnable next) {
+        resting = Optional.of(new Rest(timers.after(milliseconds, this::askNow), next));
     }
 
     private void watch(long version) {
@@ -136,11 +144,19 @@
                                 onHeard();
                                 page.rows().forEach(listener::onChange);
                                 long next = Math.max(version, page.version());
-                                afterRest(page, () -> watch(next));
+                                onWatched(page, next);
                             }
                         });
     }
 
+    private void onWatched(RowPage page, long version) {
+        if (page.rows().isEmpty()) {
+            watch(version);
+        } else {
+            rest(pace.restMilliseconds(), () -> watch(version));
+        }
+    }
+
     private void onFailure(Throwable failure, Runnable next) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
         if (stopped) {
@@ -156,8 +172,8 @@
             log.event("store-lost").with("table", table).with("cause", cause.getMessage()).write();
         }
         long jitter = random.nextLong(pause);
-        pause = Math.min(2 * pause, GREATEST_PAUSE_MILLISECONDS);
-        timers.after(pause / 2 + jitter, next);
+        pause = Math.min(2 * pause, pace.longestPauseMilliseconds());
+        rest(pause / 2 + jitter, next);
     }
 
     private void onHeard() {
--- a/relay/src/main/java/org/damaskmoor/relay/internal/link/CallLink.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/CallLink.java
@@ -3,7 +3,9 @@
 import org.damaskmoor.schema.link.CallCancel;
 import org.damaskmoor.schema.link.CallSeal;
 import org.damaskmoor.schema.link.FleetNews;
+import org.damaskmoor.schema.link.FleetRequest;
 import org.damaskmoor.schema.link.ForwardedCall;
+import org.damaskmoor.schema.link.ReaderSign;
 
 /** The way from an entry to one target. Confined to the event loop. */
 public interface CallLink {
@@ -28,8 +30,11 @@
     /** Tells what the fleet looks like from here. */
     void send(FleetNews news);
 
+    /** Tells that this node reads the store for its data centre. */
+    void send(ReaderSign sign);
+
     /** Asks what the fleet looks like from there. */
-    void requestNews(long configurationVersion);
+    void send(FleetRequest request);
 
     /** Ends the link for good. */
     void close();
--- a/relay/src/main/java/org/damaskmoor/relay/internal/link/CallReceiver.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/CallReceiver.java
@@ -6,6 +6,7 @@
 import org.damaskmoor.schema.link.FleetRequest;
 import org.damaskmoor.schema.link.ForwardedCall;
 import org.damaskmoor.schema.link.LinkHello;
+import org.damaskmoor.schema.link.ReaderSign;
 
 /** The target's side of links. Confined to the event loop. */
 public interface CallReceiver {
@@ -29,4 +30,7 @@
 
     /** A peer told what it knows of the fleet. */
     void onNews(FleetNews news);
+
+    /** A node told that it reads the store for its data centre. */
+    void onSign(ReaderSign sign);
 }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/link/IncomingLink.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/IncomingLink.java
@@ -100,6 +100,7 @@
                             LinkFrame.newBuilder()
                                     .setFleetNews(receiver.news(frame.getFleetRequest())));
             case FLEET_NEWS -> receiver.onNews(frame.getFleetNews());
+            case READER_SIGN -> receiver.onSign(frame.getReaderSign());
             default -> {
                 // A frame of a later version.
             }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/link/OutgoingLink.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/OutgoingLink.java
@@ -22,6 +22,7 @@
 import org.damaskmoor.schema.link.LinkFrame;
 import org.damaskmoor.schema.link.LinkHello;
 import org.damaskmoor.schema.link.LinkPing;
+import org.damaskmoor.schema.link.ReaderSign;
 
 /**
  * The entry's end of a link over TCP: one connection at a time, opened again when it was lost.
@@ -209,13 +210,13 @@
     }
 
     @Override
-    public void requestNews(long configurationVersion) {
-        writeOrWait(
-                LinkFrame.newBuilder()
-                        .setFleetRequest(
-                                FleetRequest.newBuilder()
-                                        .setConfigurationVersion(configurationVersion))
-                        .build());
+    public void send(ReaderSign sign) {
+        writeOrWait(LinkFrame.newBuilder().setReaderSign(sign).build());
+    }
+
+    @Override
+    public void send(FleetRequest request) {
+        writeOrWait(LinkFrame.newBuilder().setFleetRequest(request).build());
     }
 
     private void writeOrWait(LinkFrame frame) {
