Add a fault soak of relays as processes

Relays run as processes of their own; the store, upstreams and callers stand around them, and a loopback proxy in front of callers' connections, links, the store and the upstream delays, resets, cuts one way and silences. Signals pause, kill, stop and reload; faults come in series and overlap. Checked from what callers and upstreams see: runs at most once, 'not run' is true, whole and own answers, no request unanswered at an undisturbed relay or in a planned stop, configurations in time and never back, no calls after an upstream's leaving, planned stops in time, recovery. The stand-ins of the relay's tests move here; the relay gets the setting advertised-link-address for a proxy before its links. Tests: PromisesTest shows each check fail and each allowed case pass.

--- a/relay/src/main/java/org/damaskmoor/relay/Rehearsal.java
+++ b/relay/src/main/java/org/damaskmoor/relay/Rehearsal.java
@@ -69,13 +69,15 @@
     }
 
     private static RelaySettings settings() throws IOException {
+        InetSocketAddress links = free();
         return new RelaySettings(
                 new NodeId("rehearsal"),
                 new RegionName("here"),
                 new DataCentreName("here"),
                 new ServiceName("rehearsal"),
                 free(),
-                free(),
+                links,
+                links,
                 free(),
                 free(),
                 free(),
--- a/relay/src/main/java/org/damaskmoor/relay/RelaySettings.java
+++ b/relay/src/main/java/org/damaskmoor/relay/RelaySettings.java
@@ -16,7 +16,8 @@
  * @param dataCentre data centre of its VM
  * @param service service of the upstream on the same VM
  * @param callers where callers send their requests
- * @param links where other nodes open links
+ * @param links where this node waits for links of other nodes
+ * @param advertisedLinks where other nodes find it; differs behind a proxy
  * @param readiness where the platform asks whether this node takes callers
  * @param announcements where the upstream announces itself
  * @param upstream where the upstream serves
@@ -37,6 +38,7 @@
         ServiceName service,
         InetSocketAddress callers,
         InetSocketAddress links,
+        InetSocketAddress advertisedLinks,
         InetSocketAddress readiness,
         InetSocketAddress announcements,
         InetSocketAddress upstream,
--- a/relay/src/main/java/org/damaskmoor/relay/RelaySettingsReader.java
+++ b/relay/src/main/java/org/damaskmoor/relay/RelaySettingsReader.java
@@ -71,6 +71,10 @@
         Optional<ServiceName> service = value("service", ServiceName::new);
         Optional<InetSocketAddress> callers = address("caller-address");
         Optional<InetSocketAddress> links = address("link-address");
+        Optional<InetSocketAddress> advertisedLinks =
+                text("advertised-link-address").isEmpty()
+                        ? links
+                        : address("advertised-link-address");
         Optional<InetSocketAddress> readiness = address("readiness-address");
         Optional<InetSocketAddress> announcements = address("announcement-address");
         Optional<InetSocketAddress> upstream = address("upstream-address");
@@ -94,6 +98,7 @@
                 service.get(),
                 callers.get(),
                 links.get(),
+                advertisedLinks.get(),
                 readiness.get(),
                 announcements.get(),
                 upstream.get(),
--- a/relay/src/main/java/org/damaskmoor/relay/internal/OwnMember.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/OwnMember.java
@@ -2,6 +2,7 @@
 
 import org.damaskmoor.core.id.Incarnation;
 import org.damaskmoor.relay.RelaySettings;
+import org.damaskmoor.relay.internal.net.Addresses;
 import org.damaskmoor.schema.link.FleetMember;
 
 /** Makes this node's own record; each has a greater revision. Confined to the event loop. */
@@ -21,7 +22,7 @@
                 .setNodeId(settings.node().value())
                 .setIncarnation(incarnation.value())
                 .setRevision(revision)
-                .setAddress(settings.links().getHostString() + ":" + settings.links().getPort())
+                .setAddress(Addresses.text(settings.advertisedLinks()))
                 .setDataCentre(settings.dataCentre().value())
                 .setRegion(settings.region().value())
                 .setService(service)
--- a/relay/src/main/java/org/damaskmoor/relay/internal/net/Addresses.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/net/Addresses.java
@@ -2,7 +2,7 @@
 
 import java.net.InetSocketAddress;
 
-/** Reads addresses written as HOST:PORT. Thread-safe: pure functions. */
+/** Reads and writes addresses as HOST:PORT. Thread-safe: pure functions. */
 public final class Addresses {
     private Addresses() {}
 
@@ -19,4 +19,9 @@
         int port = Integer.parseInt(text.substring(colon + 1));
         return new InetSocketAddress(text.substring(0, colon), port);
     }
+
+    /** The address as HOST:PORT. */
+    public static String text(InetSocketAddress address) {
+        return address.getHostString() + ":" + address.getPort();
+    }
 }
--- a/relay/src/test/java/org/damaskmoor/relay/UpstreamSideTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/UpstreamSideTest.java
@@ -3,9 +3,9 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import org.damaskmoor.relay.fixture.Fleet;
-import org.damaskmoor.relay.fixture.RawCaller;
 import org.damaskmoor.relay.fixture.RelayUnderTest;
-import org.damaskmoor.relay.fixture.UpstreamStandIn;
+import org.damaskmoor.soak.standin.RawCaller;
+import org.damaskmoor.soak.standin.UpstreamStandIn;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
--- /dev/null
+++ b/soak/src/main/java/org/damaskmoor/soak/RelayProcess.java
@@ -0,0 +1,113 @@
+package org.damaskmoor.soak;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.lang.ProcessBuilder.Redirect;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.damaskmoor.soak.standin.RawCaller;
+
+/**
+ * One relay as a process of its own, with its settings file and its log.
+ *
+ * <p>Thread-safe. Invariant: at most one process at a time, and it ends at the latest with this
+ * one.
+ */
+final class RelayProcess implements AutoCloseable {
+    private static final List<String> COMMAND =
+            List.of(
+                    "java",
+                    "-Xmx96m",
+                    "-Xss256k",
+                    "-XX:+UseSerialGC",
+                    "-XX:TieredStopAtLevel=1",
+                    "-XX:MaxDirectMemorySize=64m",
+                    "-jar");
+
+    private final Path jar;
+    private final Path settings;
+    private final Path output;
+    private final InetSocketAddress readiness;
+    private volatile Process process;
+
+    RelayProcess(Path jar, Path directory, String name, String properties, InetSocketAddress ready)
+            throws IOException {
+        this.jar = jar;
+        this.settings = directory.resolve(name + ".properties");
+        this.output = directory.resolve(name + ".log");
+        this.readiness = ready;
+        Files.writeString(settings, properties);
+        Runtime.getRuntime().addShutdownHook(new Thread(this::kill, "end-" + name));
+    }
+
+    /** Starts the process. */
+    synchronized void start() throws IOException {
+        List<String> command = new ArrayList<>(COMMAND);
+        command.add(jar.toString());
+        command.add(settings.toString());
+        process =
+                new ProcessBuilder(command)
+                        .redirectErrorStream(true)
+                        .redirectOutput(Redirect.appendTo(output.toFile()))
+                        .start();
+    }
+
+    /** Whether the process runs. */
+    boolean isAlive() {
+        return process != null && process.isAlive();
+    }
+
+    /** Whether it says that it takes callers. */
+    boolean isReady() {
+        try (RawCaller caller = new RawCaller(readiness)) {
+            return caller.ask("GET /v1/ready HTTP/1.1\r\nHost: a\r\n\r\n").status() == 200;
+        } catch (IOException notThere) {
+            return false;
+        }
+    }
+
+    /** Sends a signal by its name, such as {@code STOP}. */
+    void signal(String name) {
+        try {
+            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Ends the process at once. */
+    void kill() {
+        if (process != null) {
+            process.destroyForcibly();
+        }
+    }
+
+    /** Waits for the end; false when it still runs after that time. */
+    boolean awaitEnd(long milliseconds) throws InterruptedException {
+        return process.waitFor(milliseconds, TimeUnit.MILLISECONDS);
+    }
+
+    /** The code with which it ended. */
+    int exitCode() {
+        return process.exitValue();
+    }
+
+    /** Puts other text in the settings file. */
+    void writeSettings(String properties) throws IOException {
+        Files.writeString(settings, properties);
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        kill();
+        if (process != null) {
+            process.waitFor();
+        }
+    }
+}
--- /dev/null
+++ b/soak/src/main/java/org/damaskmoor/soak/SoakCaller.java
@@ -0,0 +1,110 @@
+package org.damaskmoor.soak;
+
+import java.io.IOException;
+import java.net.SocketTimeoutException;
+import java.util.Queue;
+import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
+import org.damaskmoor.soak.promise.Exchange;
+import org.damaskmoor.soak.promise.Exchange.End;
+import org.damaskmoor.soak.standin.RawCaller;
+
+/**
+ * A caller that sends one request after the other over a connection that it uses until the relay
+ * closes it. Confined to one thread.
+ */
+final class SoakCaller implements Runnable {
+    private static final long BETWEEN_REQUESTS_MILLISECONDS = 15;
+    private static final long RECONNECT_MILLISECONDS = 100;
+
+    /** The deadline that requests carry and 1.5 s: an answer that still comes later is too late. */
+    private static final int PATIENCE_MILLISECONDS = 4500;
+
+    private static final int OK = 200;
+
+    private final String name;
+    private final int relay;
+    private final SoakSite site;
+    private final Queue<Exchange> exchanges;
+    private final BooleanSupplier ended;
+    private final LongSupplier clock;
+    private final SplittableRandom random;
+    private int sent;
+
+    SoakCaller(
+            String name,
+            int relay,
+            SoakSite site,
+            Queue<Exchange> exchanges,
+            BooleanSupplier ended,
+            LongSupplier clock,
+            SplittableRandom random) {
+        this.name = name;
+        this.relay = relay;
+        this.site = site;
+        this.exchanges = exchanges;
+        this.ended = ended;
+        this.clock = clock;
+        this.random = random;
+    }
+
+    @Override
+    public void run() {
+        while (!ended.getAsBoolean()) {
+            try (RawCaller connection =
+                    new RawCaller(
+                            site.nodes().get(relay).callers().address(), PATIENCE_MILLISECONDS)) {
+                while (!ended.getAsBoolean() && exchange(connection)) {
+                    Thread.sleep(random.nextLong(2 * BETWEEN_REQUESTS_MILLISECONDS));
+                }
+                Thread.sleep(RECONNECT_MILLISECONDS);
+            } catch (IOException notThere) {
+                // The relay is away or restarts; the next connection may find it.
+            } catch (InterruptedException interrupted) {
+                return;
+            }
+        }
+    }
+
+    /** Sends a request and notes its end; false when the connection can't be used any more. */
+    private boolean exchange(RawCaller connection) throws IOException {
+        sent++;
+        String id = name + "-" + sent;
+        int choice = random.nextInt(10);
+        int version = choice < 2 ? site.version() : 0;
+        boolean order = choice >= 6;
+        String request =
+                order
+                        ? RawCaller.post("/order/" + sent, id, "body of " + id)
+                        : RawCaller.get(version > 0 ? "/v" + version + "/x" : "/read/x", id);
+        connection.send(request);
+        long sentAt = clock.getAsLong();
+        End end = End.ANSWERED;
+        int status = 0;
+        boolean own = true;
+        boolean usable = true;
+        try {
+            RawCaller.Answer answer = connection.read();
+            status = answer.status();
+            if (answer.headers().containsKey("not-executed")) {
+                end = End.SAID_NOT_RUN;
+            }
+            own =
+                    status != OK
+                            || (answer.body().equals("answer to " + id)
+                                    && id.equals(answer.headers().get("request-id")));
+            usable = !"close".equalsIgnoreCase(answer.headers().get("connection"));
+        } catch (SocketTimeoutException silent) {
+            end = End.NO_ANSWER;
+            usable = false;
+        } catch (IOException closed) {
+            end = End.CLOSED;
+            usable = false;
+        }
+        exchanges.add(
+                new Exchange(
+                        id, relay, order, version, sentAt, clock.getAsLong(), end, status, own));
+        return usable;
+    }
+}
--- /dev/null
+++ b/soak/src/test/java/org/damaskmoor/soak/fault/FaultPlanTest.java
@@ -0,0 +1,50 @@
+package org.damaskmoor.soak.fault;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class FaultPlanTest {
+    private static final long MINUTE_MILLISECONDS = 60_000;
+
+    @Test
+    void should_plan_the_same_faults_for_the_same_seed() {
+        assertThat(plan(7)).isEqualTo(plan(7));
+        assertThat(plan(7)).isNotEqualTo(plan(8));
+    }
+
+    @Test
+    void should_plan_series_that_overlap() {
+        // when
+        List<PlannedFault> faults = plan(7);
+
+        // then
+        int overlaps = 0;
+        for (int i = 1; i < faults.size(); i++) {
+            PlannedFault former = faults.get(i - 1);
+            long end = former.startMilliseconds() + former.durationMilliseconds();
+            overlaps += end > faults.get(i).startMilliseconds() ? 1 : 0;
+        }
+        assertThat(overlaps).isGreaterThan(faults.size() / 4);
+    }
+
+    @Test
+    void should_plan_each_kind_sooner_or_later() {
+        // when
+        Set<FaultKind> kinds = EnumSet.noneOf(FaultKind.class);
+        for (int seed = 0; seed < 10; seed++) {
+            plan(seed).forEach(fault -> kinds.add(fault.kind()));
+        }
+
+        // then
+        assertThat(kinds).containsExactlyElementsIn(FaultKind.values());
+    }
+
+    private static List<PlannedFault> plan(long seed) {
+        return new FaultPlan(new SplittableRandom(seed)).plan(MINUTE_MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/soak/src/test/java/org/damaskmoor/soak/fault/FaultyLinkTest.java
@@ -0,0 +1,112 @@
+package org.damaskmoor.soak.fault;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.SocketTimeoutException;
+import org.damaskmoor.soak.fault.FaultyLink.Mode;
+import org.damaskmoor.soak.standin.RawCaller;
+import org.damaskmoor.soak.standin.UpstreamStandIn;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class FaultyLinkTest {
+    private static final int PATIENCE_MILLISECONDS = 300;
+    private static final long DELAY_MILLISECONDS = 60;
+
+    private UpstreamStandIn upstream;
+    private FaultyLink link;
+
+    @BeforeEach
+    void start() throws IOException {
+        upstream = new UpstreamStandIn();
+        InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        link = new FaultyLink(any, upstream.address());
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        link.close();
+        upstream.close();
+    }
+
+    @Test
+    void should_pass_bytes_both_ways() throws IOException {
+        try (RawCaller caller = caller()) {
+            assertThat(ask(caller, "r1").body()).isEqualTo("answer to r1");
+        }
+    }
+
+    @Test
+    void should_delay_bytes() throws IOException {
+        // given
+        link.mode(Mode.DELAY, DELAY_MILLISECONDS);
+        long asked = System.nanoTime();
+
+        // when
+        try (RawCaller caller = caller()) {
+            ask(caller, "r1");
+        }
+
+        // then
+        long milliseconds = (System.nanoTime() - asked) / 1_000_000;
+        assertThat(milliseconds).isAtLeast(2 * DELAY_MILLISECONDS);
+    }
+
+    @Test
+    void should_end_open_connections_when_it_resets() throws IOException {
+        try (RawCaller caller = caller()) {
+            ask(caller, "r1");
+
+            // when
+            link.mode(Mode.RESET, 0);
+
+            // then
+            assertThrows(IOException.class, () -> ask(caller, "r2"));
+        }
+    }
+
+    @Test
+    void should_lose_only_answers_when_cut_one_way() throws Exception {
+        // given
+        link.mode(Mode.ONE_WAY, 0);
+
+        // when
+        try (RawCaller caller = caller()) {
+            assertThrows(SocketTimeoutException.class, () -> ask(caller, "r1"));
+        }
+
+        // then
+        assertThat(upstream.runs("r1")).isEqualTo(1);
+    }
+
+    @Test
+    void should_keep_a_silenced_connection_silent_and_let_new_ones_work() throws IOException {
+        try (RawCaller former = caller()) {
+            // given
+            link.mode(Mode.SILENT, 0);
+            assertThrows(SocketTimeoutException.class, () -> ask(former, "r1"));
+            link.mode(Mode.PASS, 0);
+
+            // when
+            assertThrows(SocketTimeoutException.class, () -> ask(former, "r2"));
+            try (RawCaller later = caller()) {
+                // then
+                assertThat(ask(later, "r3").body()).isEqualTo("answer to r3");
+            }
+        }
+        assertThat(upstream.runs("r1") + upstream.runs("r2")).isEqualTo(0);
+    }
+
+    private RawCaller caller() throws IOException {
+        return new RawCaller(link.address(), PATIENCE_MILLISECONDS);
+    }
+
+    private static RawCaller.Answer ask(RawCaller caller, String id) throws IOException {
+        return caller.ask(RawCaller.get("/read/1", id));
+    }
+}
--- /dev/null
+++ b/soak/src/test/java/org/damaskmoor/soak/promise/PromisesTest.java
@@ -0,0 +1,157 @@
+package org.damaskmoor.soak.promise;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableSet;
+import java.util.TreeSet;
+import java.util.function.LongConsumer;
+import org.damaskmoor.soak.promise.Disturbances.Part;
+import org.damaskmoor.soak.promise.Exchange.End;
+import org.damaskmoor.soak.promise.RunLedger.Run;
+import org.junit.jupiter.api.Test;
+
+class PromisesTest {
+    private static final int RELAY = 3;
+    private static final Run RUN = new Run(1, "upstream-1-1", 20_010);
+    private static final Run OTHER_RUN = new Run(2, "upstream-2-1", 20_030);
+
+    private final Disturbances disturbances = new Disturbances();
+    private final RunLedger ledger = new RunLedger();
+    private final Promises promises = new Promises(disturbances, ledger);
+
+    @Test
+    void should_find_an_order_that_ran_twice() {
+        // given
+        ledger.ran("r1", RUN);
+        ledger.ran("r1", OTHER_RUN);
+
+        // then
+        assertThat(kinds(order(End.ANSWERED, 200, true, 20_050))).containsExactly("RAN_TWICE");
+    }
+
+    @Test
+    void should_allow_a_read_to_run_twice() {
+        // given
+        ledger.ran("r1", RUN);
+        ledger.ran("r1", OTHER_RUN);
+
+        // then
+        assertThat(kinds(read(0, 20_000, End.ANSWERED, 200))).isEmpty();
+    }
+
+    @Test
+    void should_find_a_refusal_of_what_had_run() {
+        // given
+        ledger.ran("r1", RUN);
+
+        // then
+        assertThat(kinds(order(End.SAID_NOT_RUN, 503, true, 20_050)))
+                .containsExactly("FALSE_NOT_RUN");
+    }
+
+    @Test
+    void should_find_an_answer_that_belongs_to_another_request() {
+        assertThat(kinds(order(End.ANSWERED, 200, false, 20_050)))
+                .containsExactly("NOT_ITS_ANSWER");
+    }
+
+    @Test
+    void should_find_a_request_without_an_answer_at_an_undisturbed_relay() {
+        assertThat(kinds(order(End.CLOSED, 0, true, 20_050))).containsExactly("UNANSWERED");
+        assertThat(kinds(order(End.NO_ANSWER, 0, true, 30_000))).containsExactly("UNANSWERED");
+    }
+
+    @Test
+    void should_allow_no_answer_from_a_relay_that_was_killed() {
+        // given
+        disturbances.begin(Part.PROCESS, RELAY, 20_020);
+
+        // then
+        assertThat(kinds(order(End.CLOSED, 0, true, 20_050))).isEmpty();
+    }
+
+    @Test
+    void should_not_excuse_a_relay_by_a_disturbance_of_another() {
+        // given
+        disturbances.begin(Part.PROCESS, RELAY + 1, 20_020);
+
+        // then
+        assertThat(kinds(order(End.CLOSED, 0, true, 20_050))).containsExactly("UNANSWERED");
+    }
+
+    @Test
+    void should_find_a_request_that_a_planned_stop_lost() {
+        // given
+        disturbances.begin(Part.PLANNED_STOP, RELAY, 19_000);
+
+        // then a request that just came may be lost, but not one that ran or waited
+        assertThat(kinds(order(End.CLOSED, 0, true, 20_150))).isEmpty();
+        assertThat(kinds(order(End.CLOSED, 0, true, 20_300))).containsExactly("UNANSWERED");
+        ledger.ran("r1", RUN);
+        assertThat(kinds(order(End.CLOSED, 0, true, 20_150))).containsExactly("UNANSWERED");
+    }
+
+    @Test
+    void should_find_a_route_that_is_missing_too_long_after_a_change() {
+        assertThat(outdated(10_000, read(5, 12_400, End.ANSWERED, 404))).isEmpty();
+        assertThat(outdated(10_000, read(5, 12_600, End.ANSWERED, 404)))
+                .containsExactly("OUTDATED");
+    }
+
+    @Test
+    void should_not_expect_a_change_while_the_store_is_away() {
+        // given
+        LongConsumer end = disturbances.begin(Part.STORE, 0, 9000);
+        end.accept(11_000);
+
+        // then
+        assertThat(outdated(10_000, read(5, 12_600, End.ANSWERED, 404))).isEmpty();
+    }
+
+    @Test
+    void should_find_a_relay_that_steps_back() {
+        assertThat(
+                        outdated(
+                                10_000,
+                                read(5, 10_500, End.ANSWERED, 200),
+                                read(5, 11_000, End.ANSWERED, 404)))
+                .containsExactly("STEPPED_BACK");
+    }
+
+    @Test
+    void should_find_a_run_after_an_upstream_had_left() {
+        // given
+        ledger.ran("r1", RUN);
+
+        // then
+        assertThat(promises.afterLeaving(Map.of("upstream-1-1", 18_000L))).isEmpty();
+        assertThat(promises.afterLeaving(Map.of("upstream-1-1", 17_000L))).hasSize(1);
+    }
+
+    private List<String> kinds(Exchange exchange) {
+        return names(promises.broken(List.of(exchange)));
+    }
+
+    private List<String> outdated(long acknowledged, Exchange... exchanges) {
+        NavigableSet<Long> started = new TreeSet<>(List.of(1000L));
+        return names(
+                promises.outdated(
+                        List.of(exchanges), Map.of(5, acknowledged), Map.of(RELAY, started)));
+    }
+
+    private static List<String> names(List<String> lines) {
+        return lines.stream()
+                .map(line -> line.substring(line.indexOf('=') + 1, line.indexOf(' ')))
+                .toList();
+    }
+
+    private static Exchange order(End end, int status, boolean own, long endedAt) {
+        return new Exchange("r1", RELAY, true, 0, 20_000, endedAt, end, status, own);
+    }
+
+    private static Exchange read(int version, long sentAt, End end, int status) {
+        return new Exchange("r1", RELAY, false, version, sentAt, sentAt + 50, end, status, true);
+    }
+}
