--- a/soak/src/main/java/org/damaskmoor/soak/SoakRun.java
+++ b/soak/src/main/java/org/damaskmoor/soak/SoakRun.java
@@ -3,11 +3,11 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.damaskmoor.soak.fault.FaultPlan;
@@ -23,7 +23,7 @@
  * <p>Confined to one thread. Invariant: the same seed gives the same plan of faults.
  */
 final class SoakRun {
-    private static final int CALLERS_PER_RELAY = 4;
+    private static final int CALLERS_PER_RELAY = 6;
     private static final long CONFIGURATION_EVERY_MILLISECONDS = 1500;
 
     /** Time in which all relays serve again after the last fault. */
@@ -76,11 +76,17 @@
                                     broken.addAll(
                                             promises.afterLeaving(node.upstream().leavingSince())));
         }
-        Map<String, Integer> ends = new HashMap<>();
-        exchanges.forEach(exchange -> ends.merge(exchange.end().name(), 1, Integer::sum));
+        Map<String, Integer> ends = new TreeMap<>();
+        exchanges.forEach(exchange -> ends.merge(name(exchange), 1, Integer::sum));
         return new Result(broken, ends);
     }
 
+    private static String name(Exchange exchange) {
+        return exchange.status() == 0
+                ? exchange.end().name()
+                : exchange.end() + "_" + exchange.status();
+    }
+
     private List<Thread> startCallers(
             SoakSite site,
             Queue<Exchange> exchanges,
