Ask the store less at a start and while it is away

Change: a node that hears of no reader rests 2.5 s between changes of members; no node reads for others before it knows them; while the configuration's table is not answered the members' table waits for it, and a node that hears a reader pauses 4 s.

--- a/core/src/main/java/org/damaskmoor/core/placement/LoadSnapshot.java
+++ b/core/src/main/java/org/damaskmoor/core/placement/LoadSnapshot.java
@@ -9,7 +9,6 @@
  * @param slowness how long work takes there at this moment, 1 is as usual; 0 when untold
  * @param steadySlowness how long work took there at its best lately; 0 when untold
  * @param slownessAgeMilliseconds age of the slowness when it was told
- * @param failureRate part of recent calls that failed
  */
 public record LoadSnapshot(
         int running,
@@ -17,11 +16,10 @@
         int limit,
         double slowness,
         double steadySlowness,
-        long slownessAgeMilliseconds,
-        double failureRate) {
+        long slownessAgeMilliseconds) {
 
     /** A target of which nothing is known but its slots. */
     public static LoadSnapshot unknown(int slots) {
-        return new LoadSnapshot(0, 0, Math.max(1, slots), 0, 0, 0, 0);
+        return new LoadSnapshot(0, 0, Math.max(1, slots), 0, 0, 0);
     }
 }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
@@ -109,18 +109,21 @@
                         fleet,
                         configuration,
                         this::isStoreLost,
+                        this::isConfigurationLost,
                         this::askStoreNow,
                         timers,
                         random,
                         log);
         MemberRows members = new MemberRows(self, fleet, ownRecord, reading);
-        this.memberWatch = tableWatch(FleetDirectory.TABLE, store, members, reading.memberPace());
+        this.memberWatch =
+                tableWatch(FleetDirectory.TABLE, store, members, reading.memberPace(), () -> {});
         this.configurationWatch =
                 tableWatch(
                         ConfigurationDecoder.TABLE,
                         store,
                         configuration,
-                        reading.configurationPace());
+                        reading.configurationPace(),
+                        this::onStoreRegained);
         this.peerNews =
                 new PeerNews(
                         fleet,
@@ -138,8 +141,12 @@
     }
 
     private TableWatch tableWatch(
-            String table, RowStore store, TableWatch.Listener listener, TableWatch.Pace pace) {
-        return new TableWatch(table, store, timers, random, log, listener, pace);
+            String table,
+            RowStore store,
+            TableWatch.Listener listener,
+            TableWatch.Pace pace,
+            Runnable onRegained) {
+        return new TableWatch(table, store, timers, random, log, listener, pace, onRegained);
     }
 
     private void askStoreNow() {
@@ -147,6 +154,14 @@
         memberWatch.askNow();
     }
 
+    private void onStoreRegained() {
+        memberWatch.askNow();
+    }
+
+    private boolean isConfigurationLost() {
+        return configurationWatch.isLost();
+    }
+
     private TargetDesk targetDesk(EventLoop loop) {
         return new TargetDesk(
                 incarnation,
--- a/relay/src/main/java/org/damaskmoor/relay/internal/StoreReading.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/StoreReading.java
@@ -32,20 +32,34 @@
     /** Changes of the configuration within this time cost one call to the store. */
     private static final long CONFIGURATION_REST_MILLISECONDS = 600;
 
-    /** Changes of members within this time cost one call to the store. */
-    private static final long MEMBER_REST_MILLISECONDS = 400;
+    /** Changes of members within this time cost a reader one call to the store. */
+    private static final long READER_MEMBER_REST_MILLISECONDS = 400;
+
+    /**
+     * The same for a node that hears of no reader yet: when a whole fleet starts, it joins one by
+     * one within some seconds.
+     */
+    private static final long MEMBER_REST_MILLISECONDS = 2500;
 
     /** How long an informed node leaves the store alone; less than the store keeps its history. */
     private static final long INFORMED_REST_MILLISECONDS = 12_000;
 
     private static final long INFORMED_REST_SPREAD_MILLISECONDS = 4000;
 
-    /** Longest pause between attempts while the store does not answer: it is to be missed soon. */
-    private static final long READER_PAUSE_MILLISECONDS = 1200;
+    /** Pause after a first failure; doubles with each further one up to the longest. */
+    private static final long FIRST_PAUSE_MILLISECONDS = 300;
+
+    private static final int MOST_DOUBLINGS = 4;
+
+    /** Longest pause of a node that has to find out by itself that the store is back. */
+    private static final long LONGEST_PAUSE_MILLISECONDS = 1200;
 
-    /** The same for a node that hears a reader, which tells it when the store is back. */
+    /** Pause of a node that hears a reader, which tells it when the store is back. */
     private static final long OTHERS_PAUSE_MILLISECONDS = 4000;
 
+    /** Pause of a table beside another one whose return is awaited. */
+    private static final long SECOND_TABLE_PAUSE_MILLISECONDS = 8000;
+
     /** Nodes of each other data centre that get signs: two, so that one may be lost. */
     private static final int SIGNS_ELSEWHERE = 2;
 
@@ -60,6 +74,7 @@
     private final FleetDirectory fleet;
     private final ConfigurationHolder configuration;
     private final BooleanSupplier storeLost;
+    private final BooleanSupplier configurationLost;
     private final Runnable askStoreNow;
     private final Timers timers;
     private final RandomGenerator random;
@@ -72,6 +87,7 @@
             FleetDirectory fleet,
             ConfigurationHolder configuration,
             BooleanSupplier storeLost,
+            BooleanSupplier configurationLost,
             Runnable askStoreNow,
             Timers timers,
             RandomGenerator random,
@@ -81,6 +97,7 @@
         this.fleet = fleet;
         this.configuration = configuration;
         this.storeLost = storeLost;
+        this.configurationLost = configurationLost;
         this.askStoreNow = askStoreNow;
         this.timers = timers;
         this.random = random;
@@ -136,34 +153,58 @@
 
     /** How closely the configuration is asked for. */
     TableWatch.Pace configurationPace() {
-        return pace(CONFIGURATION_REST_MILLISECONDS);
+        return new TableWatch.Pace() {
+            @Override
+            public long restMilliseconds() {
+                return isInformed() ? informedRest() : CONFIGURATION_REST_MILLISECONDS;
+            }
+
+            @Override
+            public long pauseMilliseconds(int failures) {
+                return pause(failures);
+            }
+        };
     }
 
     /** How closely members are asked for. */
     TableWatch.Pace memberPace() {
-        return pace(MEMBER_REST_MILLISECONDS);
-    }
-
-    private TableWatch.Pace pace(long closeRest) {
         return new TableWatch.Pace() {
             @Override
             public long restMilliseconds() {
-                if (isReader() || !election.isInformed(timers.now())) {
-                    return closeRest;
+                if (isInformed()) {
+                    return informedRest();
                 }
-                return INFORMED_REST_MILLISECONDS
-                        + random.nextLong(INFORMED_REST_SPREAD_MILLISECONDS);
+                return reader ? READER_MEMBER_REST_MILLISECONDS : MEMBER_REST_MILLISECONDS;
             }
 
             @Override
-            public long longestPauseMilliseconds() {
-                boolean relies = hearsReader() && !isReader();
-                return relies ? OTHERS_PAUSE_MILLISECONDS : READER_PAUSE_MILLISECONDS;
+            public long pauseMilliseconds(int failures) {
+                boolean awaited = configurationLost.getAsBoolean();
+                return awaited ? SECOND_TABLE_PAUSE_MILLISECONDS : pause(failures);
             }
         };
     }
 
+    private boolean isInformed() {
+        return !reader && election.isInformed(timers.now());
+    }
+
+    private long informedRest() {
+        return INFORMED_REST_MILLISECONDS + random.nextLong(INFORMED_REST_SPREAD_MILLISECONDS);
+    }
+
+    private long pause(int failures) {
+        if (hearsReader() && !reader) {
+            return OTHERS_PAUSE_MILLISECONDS;
+        }
+        long doubled = FIRST_PAUSE_MILLISECONDS << Math.min(failures - 1, MOST_DOUBLINGS);
+        return Math.min(doubled, LONGEST_PAUSE_MILLISECONDS);
+    }
+
     private boolean isReader() {
+        if (!fleet.snapshotSeen()) {
+            return false;
+        }
         List<NodeId> dataCentre = new ArrayList<>();
         fleet.inDataCentre().forEach(target -> dataCentre.add(target.node()));
         return election.isReader(dataCentre, timers.now());
--- a/relay/src/main/java/org/damaskmoor/relay/internal/fleet/FleetTarget.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/FleetTarget.java
@@ -11,7 +11,6 @@
 /** One node with its upstream, as an entry sees it. Confined to the event loop. */
 public final class FleetTarget {
     private static final double PERCENT = 100;
-    private static final double PER_THOUSAND = 1000;
 
     private final NodeId node;
     private final TargetEstimate estimate;
@@ -70,8 +69,7 @@
                         load.getLimit(),
                         load.getSlownessPercent() / PERCENT,
                         load.getSteadySlownessPercent() / PERCENT,
-                        load.getSlownessAgeMilliseconds(),
-                        load.getFailuresPerThousand() / PER_THOUSAND),
+                        load.getSlownessAgeMilliseconds()),
                 now);
     }
 }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/fleet/TableWatch.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/TableWatch.java
@@ -20,9 +20,6 @@
  * whether the store answers.
  */
 public final class TableWatch {
-    /** Pause after a failure; doubles up to the greatest, with jitter against common returns. */
-    private static final long LEAST_PAUSE_MILLISECONDS = 150;
-
     /** After a table was read, changes are asked for within this time, whatever the rest. */
     private static final long GREATEST_FIRST_REST_MILLISECONDS = 3000;
 
@@ -33,7 +30,8 @@
     private final EventLog log;
     private final Listener listener;
     private final Pace pace;
-    private long pause = LEAST_PAUSE_MILLISECONDS;
+    private final Runnable onRegained;
+    private int failures;
     private Optional<Rest> resting = Optional.empty();
     private boolean lost;
     private boolean stopped;
@@ -59,11 +57,15 @@
         /** Time between a change and the next question: changes meanwhile cost one call. */
         long restMilliseconds();
 
-        /** Longest pause between attempts while the store does not answer. */
-        long longestPauseMilliseconds();
+        /** Pause after so many failures in a row, the present one included. */
+        long pauseMilliseconds(int failures);
     }
 
-    /** Creates a watch that has not begun. */
+    /**
+     * Creates a watch that has not begun.
+     *
+     * @param onRegained runs when the store answers again after it was lost
+     */
     public TableWatch(
             String table,
             RowStore store,
@@ -71,7 +73,9 @@
             RandomGenerator random,
             EventLog log,
             Listener listener,
-            Pace pace) {
+            Pace pace,
+            Runnable onRegained) {
+        this.onRegained = onRegained;
         this.pace = pace;
         this.table = table;
         this.store = store;
@@ -171,16 +175,17 @@
             lost = true;
             log.event("store-lost").with("table", table).with("cause", cause.getMessage()).write();
         }
-        long jitter = random.nextLong(pause);
-        pause = Math.min(2 * pause, pace.longestPauseMilliseconds());
-        rest(pause / 2 + jitter, next);
+        failures++;
+        long pause = pace.pauseMilliseconds(failures);
+        rest(pause / 2 + random.nextLong(pause), next);
     }
 
     private void onHeard() {
-        pause = LEAST_PAUSE_MILLISECONDS;
+        failures = 0;
         if (lost) {
             lost = false;
             log.event("store-regained").with("table", table).write();
+            onRegained.run();
         }
     }
 }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/CallRunner.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/CallRunner.java
@@ -33,7 +33,6 @@
     private final SpeedChecks speed;
     private final UpstreamWatch watch;
     private final TargetReplies replies;
-    private final FailureGauge failures;
     private final TargetEvents events;
     private final Timers timers;
     private final Runnable startNext;
@@ -48,7 +47,6 @@
             SpeedChecks speed,
             UpstreamWatch watch,
             TargetReplies replies,
-            FailureGauge failures,
             TargetEvents events,
             Timers timers,
             Runnable startNext) {
@@ -60,7 +58,6 @@
         this.speed = speed;
         this.watch = watch;
         this.replies = replies;
-        this.failures = failures;
         this.events = events;
         this.timers = timers;
         this.startNext = startNext;
@@ -110,7 +107,7 @@
             notRun.load().ifPresent(speed::hear);
             onNotRun(call, notRun, now);
         } else if (outcome instanceof UpstreamOutcome.Failed failed) {
-            onFailed(call, failed.detail(), now);
+            onFailed(call, failed.detail());
         }
         startNext.run();
     }
@@ -118,7 +115,6 @@
     private void onAnswered(TargetCall call, UpstreamOutcome.Answered answered, long now) {
         long took = now - call.startedAt;
         boolean failed = answered.status() >= FIRST_SERVER_ERROR;
-        failures.add(failed, now);
         register.up();
         room.ended((double) took);
         if (!failed) {
@@ -153,9 +149,8 @@
         }
     }
 
-    private void onFailed(TargetCall call, String detail, long now) {
+    private void onFailed(TargetCall call, String detail) {
         room.abandoned();
-        failures.add(true, now);
         ledger.failed(call.id);
         open.remove(call);
         replies.failed(call, detail);
@@ -168,7 +163,7 @@
             return;
         }
         call.sent.abandon();
-        onFailed(call, "no answer before the deadline", timers.now());
+        onFailed(call, "no answer before the deadline");
         startNext.run();
     }
 }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/LoadGauge.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/LoadGauge.java
@@ -9,17 +9,14 @@
 /** Puts together what a target tells of its load. Confined to the event loop. */
 final class LoadGauge {
     private static final double PERCENT = 100;
-    private static final double PER_THOUSAND = 1000;
 
     private final UpstreamRegister register;
     private final WaitingRoom<TargetCall> room;
-    private final FailureGauge failures;
     private boolean stopping;
 
-    LoadGauge(UpstreamRegister register, WaitingRoom<TargetCall> room, FailureGauge failures) {
+    LoadGauge(UpstreamRegister register, WaitingRoom<TargetCall> room) {
         this.register = register;
         this.room = room;
-        this.failures = failures;
     }
 
     /** The node stops, and its upstream takes no new calls over it. */
@@ -37,7 +34,6 @@
                         .setRunning(room.running())
                         .setWaiting(room.waiting())
                         .setLimit(room.limit())
-                        .setFailuresPerThousand((int) (failures.at(now) * PER_THOUSAND))
                         .setState(state());
         if (slowness.isKnown()) {
             load.setSlownessPercent((int) Math.round(slowness.last() * PERCENT))
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetDesk.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetDesk.java
@@ -79,8 +79,7 @@
         this.timers = timers;
         this.log = log;
         this.events = events;
-        FailureGauge failures = new FailureGauge();
-        this.gauge = new LoadGauge(register, room, failures);
+        this.gauge = new LoadGauge(register, room);
         this.replies = new TargetReplies(timers, log, this::load);
         this.open = new OpenCalls(ledger, replies);
         UpstreamPool pool = new UpstreamPool(loop, upstream, timers);
@@ -102,7 +101,6 @@
                         speed,
                         new UpstreamWatch(register, pool, timers, log, new Watched()),
                         replies,
-                        failures,
                         events,
                         timers,
                         this::startNext);
--- a/soak/src/main/java/org/damaskmoor/soak/SoakCaller.java
+++ b/soak/src/main/java/org/damaskmoor/soak/SoakCaller.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.SocketTimeoutException;
 import java.util.Queue;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
@@ -23,6 +24,9 @@
 
     private static final int OK = 200;
 
+    /** Statuses by which a relay says that a request has not run. */
+    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
+
     private final String name;
     private final int relay;
     private final SoakSite site;
@@ -87,7 +91,7 @@
         try {
             RawCaller.Answer answer = connection.read();
             status = answer.status();
-            if (answer.headers().containsKey("not-executed")) {
+            if (NOT_RUN_STATUSES.contains(status)) {
                 end = End.SAID_NOT_RUN;
             }
             own =
--- a/soak/src/main/java/org/damaskmoor/soak/promise/Promises.java
+++ b/soak/src/main/java/org/damaskmoor/soak/promise/Promises.java
@@ -30,6 +30,9 @@
     /** How long before a change a disturbance still matters: a connection may be silent since. */
     private static final long LOOK_BACK_MILLISECONDS = 6000;
 
+    private static final int OK = 200;
+    private static final int UNKNOWN_ROUTE = 404;
+
     private final Disturbances disturbances;
     private final RunLedger ledger;
 
@@ -99,8 +102,8 @@
             }
             Long lifetime = startedAt.get(exchange.relay()).floor(exchange.sentAt());
             String key = exchange.relay() + "/" + lifetime + "/" + exchange.version();
-            boolean unknownRoute = exchange.status() == 404;
-            if (!unknownRoute && exchange.end() != End.NO_ANSWER) {
+            boolean unknownRoute = exchange.status() == UNKNOWN_ROUTE;
+            if (exchange.status() == OK) {
                 shown.putIfAbsent(key, exchange.endedAt());
             } else if (unknownRoute) {
                 long firstShown = shown.getOrDefault(key, Long.MAX_VALUE / 2);
--- a/soak/src/test/java/org/damaskmoor/soak/promise/PromisesTest.java
+++ b/soak/src/test/java/org/damaskmoor/soak/promise/PromisesTest.java
@@ -120,6 +120,16 @@
                 .containsExactly("STEPPED_BACK");
     }
 
+    @Test
+    void should_not_take_a_refusal_before_the_first_configuration_for_a_sign_of_a_version() {
+        assertThat(
+                        outdated(
+                                10_000,
+                                read(5, 10_100, End.SAID_NOT_RUN, 503),
+                                read(5, 10_500, End.ANSWERED, 404)))
+                .isEmpty();
+    }
+
     @Test
     void should_find_a_run_after_an_upstream_had_left() {
         // given
