--- a/soak/src/main/java/org/damaskmoor/soak/SoakCaller.java
+++ b/soak/src/main/java/org/damaskmoor/soak/SoakCaller.java
@@ -7,6 +7,7 @@
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
+import org.damaskmoor.soak.fault.FaultyLink;
 import org.damaskmoor.soak.promise.Exchange;
 import org.damaskmoor.soak.promise.Exchange.End;
 import org.damaskmoor.soak.standin.RawCaller;
@@ -82,8 +83,8 @@
                 order
                         ? RawCaller.post("/order/" + sent, id, "body of " + id)
                         : RawCaller.get(version > 0 ? "/v" + version + "/x" : "/read/x", id);
-        connection.send(request);
         long sentAt = clock.getAsLong();
+        connection.send(request);
         End end = End.ANSWERED;
         int status = 0;
         boolean own = true;
@@ -103,7 +104,10 @@
             end = End.NO_ANSWER;
             usable = false;
         } catch (IOException closed) {
-            end = End.CLOSED;
+            FaultyLink link = site.nodes().get(relay).callers();
+            long passedOnAt = link.passedOnAt(connection.localPort());
+            end = passedOnAt >= sentAt ? End.CLOSED : End.NEVER_REACHED;
+            sentAt = Math.max(sentAt, passedOnAt);
             usable = false;
         }
         exchanges.add(
--- a/soak/src/main/java/org/damaskmoor/soak/SoakSite.java
+++ b/soak/src/main/java/org/damaskmoor/soak/SoakSite.java
@@ -68,9 +68,9 @@
         InetSocketAddress ready = places.free();
         InetSocketAddress announcements = places.free();
         InetSocketAddress upstream = places.free();
-        FaultyLink storeLink = new FaultyLink(places.free(), store.address());
-        FaultyLink upstreamLink = new FaultyLink(places.free(), upstream);
-        FaultyLink linkProxy = new FaultyLink(places.free(), links);
+        FaultyLink storeLink = new FaultyLink(places.free(), store.address(), clock);
+        FaultyLink upstreamLink = new FaultyLink(places.free(), upstream, clock);
+        FaultyLink linkProxy = new FaultyLink(places.free(), links, clock);
         String name = "relay-" + number;
         String settings =
                 String.join(
@@ -100,7 +100,7 @@
                 new RelayProcess(jar, directory, name, settings, ready),
                 settings,
                 new SoakUpstream(number, upstream.getPort(), announcements, ledger, clock),
-                new FaultyLink(places.free(), callers),
+                new FaultyLink(places.free(), callers, clock),
                 linkProxy,
                 storeLink,
                 upstreamLink);
--- a/soak/src/main/java/org/damaskmoor/soak/fault/FaultyLink.java
+++ b/soak/src/main/java/org/damaskmoor/soak/fault/FaultyLink.java
@@ -8,7 +8,10 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.LongSupplier;
 
 /**
  * A proxy on loopback between a program and one address that it connects to, whose connections can
@@ -31,14 +34,18 @@
     }
 
     private final InetSocketAddress server;
+    private final LongSupplier clock;
+    private final Map<Integer, Long> passedOnAt = new ConcurrentHashMap<>();
     private final ServerSocket listening;
     private final List<Connection> connections = new CopyOnWriteArrayList<>();
     private volatile Mode mode = Mode.PASS;
     private volatile long delayMilliseconds;
 
     /** Opens the proxy; the server need not be there yet. */
-    public FaultyLink(InetSocketAddress address, InetSocketAddress server) throws IOException {
+    public FaultyLink(InetSocketAddress address, InetSocketAddress server, LongSupplier clock)
+            throws IOException {
         this.server = server;
+        this.clock = clock;
         this.listening = new ServerSocket();
         listening.bind(address, BACKLOG);
         start("accept", this::accept);
@@ -58,6 +65,11 @@
         }
     }
 
+    /** When bytes of the client on a port last reached the server, by the clock; 0 for never. */
+    public long passedOnAt(int clientPort) {
+        return passedOnAt.getOrDefault(clientPort, 0L);
+    }
+
     private static void start(String name, Runnable task) {
         Thread thread = new Thread(task, "link-" + name);
         thread.setDaemon(true);
@@ -128,6 +140,7 @@
                     lostBytes |= present == losing || present == Mode.SILENT;
                     if (!lostBytes) {
                         output.write(buffer, 0, count);
+                        notePassed(to);
                     }
                     count = input.read(buffer);
                 }
@@ -144,6 +157,12 @@
             }
         }
 
+        private void notePassed(Socket to) {
+            if (to == upstream) {
+                passedOnAt.put(client.getPort(), clock.getAsLong());
+            }
+        }
+
         void reset() {
             connections.remove(this);
             close(client);
--- a/soak/src/main/java/org/damaskmoor/soak/promise/Exchange.java
+++ b/soak/src/main/java/org/damaskmoor/soak/promise/Exchange.java
@@ -7,7 +7,7 @@
  * @param relay number of the relay that the caller was connected to
  * @param nonIdempotent whether it may run at most once
  * @param version the configuration whose route it takes; 0 for a route of all
- * @param sentAt when it was sent in full, in milliseconds
+ * @param sentAt when it had reached the relay as far as that is known, in milliseconds
  * @param endedAt when the answer was whole or the connection ended, in milliseconds
  * @param end how it ended
  * @param status status of the answer; 0 without one
@@ -28,6 +28,8 @@
         ANSWERED,
         SAID_NOT_RUN,
         CLOSED,
+        /** The connection ended before the request had reached the relay. */
+        NEVER_REACHED,
         NO_ANSWER
     }
 }
--- a/soak/src/main/java/org/damaskmoor/soak/promise/Promises.java
+++ b/soak/src/main/java/org/damaskmoor/soak/promise/Promises.java
@@ -97,7 +97,7 @@
         List<Exchange> inOrder = new ArrayList<>(exchanges);
         inOrder.sort((one, other) -> Long.compare(one.endedAt(), other.endedAt()));
         for (Exchange exchange : inOrder) {
-            if (exchange.version() == 0 || exchange.end() == End.CLOSED) {
+            if (exchange.version() == 0) {
                 continue;
             }
             Long lifetime = startedAt.get(exchange.relay()).floor(exchange.sentAt());
--- a/soak/src/test/java/org/damaskmoor/soak/fault/FaultyLinkTest.java
+++ b/soak/src/test/java/org/damaskmoor/soak/fault/FaultyLinkTest.java
@@ -25,7 +25,7 @@
     void start() throws IOException {
         upstream = new UpstreamStandIn();
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-        link = new FaultyLink(any, upstream.address());
+        link = new FaultyLink(any, upstream.address(), System::nanoTime);
     }
 
     @AfterEach
@@ -41,6 +41,21 @@
         }
     }
 
+    @Test
+    void should_tell_when_a_request_had_reached_the_server() throws IOException {
+        try (RawCaller caller = caller()) {
+            // given
+            assertThat(link.passedOnAt(caller.localPort())).isEqualTo(0);
+            long before = System.nanoTime();
+
+            // when
+            ask(caller, "r1");
+
+            // then
+            assertThat(link.passedOnAt(caller.localPort())).isGreaterThan(before);
+        }
+    }
+
     @Test
     void should_delay_bytes() throws IOException {
         // given
