Move the stand-ins of the users' platform into its folder; one data centre for three relays in the soak

Names and formats of the users' pages stood in soak and in the relay's test fixtures, twice in part. They now stand once, in platform/standin, a module that is never shipped.

--- a/relay/src/test/java/org/damaskmoor/relay/CallerSideTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/CallerSideTest.java
@@ -2,10 +2,10 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import org.damaskmoor.platform.standin.RawCaller;
+import org.damaskmoor.platform.standin.UpstreamStandIn;
 import org.damaskmoor.relay.fixture.Fleet;
 import org.damaskmoor.relay.fixture.RelayUnderTest;
-import org.damaskmoor.soak.standin.RawCaller;
-import org.damaskmoor.soak.standin.UpstreamStandIn;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
--- a/relay/src/test/java/org/damaskmoor/relay/FleetTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/FleetTest.java
@@ -5,11 +5,12 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import org.damaskmoor.platform.standin.ConfigurationText;
+import org.damaskmoor.platform.standin.RawCaller;
+import org.damaskmoor.platform.standin.StoreStandIn;
+import org.damaskmoor.platform.standin.UpstreamStandIn;
 import org.damaskmoor.relay.fixture.Fleet;
 import org.damaskmoor.relay.fixture.RelayUnderTest;
-import org.damaskmoor.soak.standin.RawCaller;
-import org.damaskmoor.soak.standin.StoreStandIn;
-import org.damaskmoor.soak.standin.UpstreamStandIn;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -55,13 +56,13 @@
     @Test
     void should_put_a_newer_configuration_in_force_and_never_an_older_one() throws Exception {
         // given
-        String more = "," + Fleet.route("more", "/more/", "idempotent");
+        String more = "," + ConfigurationText.route("more", "/more/", "idempotent");
         assertThat(ask(RawCaller.get("/more/1", "r1")).status()).isEqualTo(404);
 
         // when
-        fleet.store.configure(Fleet.configuration(7, more));
+        fleet.store.configure(ConfigurationText.of(7, more));
         Fleet.await(() -> ask(RawCaller.get("/more/1", "r2")).status() == 200);
-        fleet.store.configure(Fleet.configuration(3, ""));
+        fleet.store.configure(ConfigurationText.of(3, ""));
         Fleet.await(() -> entry.log().contains("event=configuration-older"));
 
         // then
@@ -71,7 +72,7 @@
     @Test
     void should_keep_the_configuration_when_a_newer_one_is_invalid() throws Exception {
         // when
-        fleet.store.configure(Fleet.configuration(9, ",{\"name\":\"broken\"}"));
+        fleet.store.configure(ConfigurationText.of(9, ",{\"name\":\"broken\"}"));
         Fleet.await(() -> entry.log().contains("event=configuration-rejected"));
 
         // then
@@ -84,8 +85,8 @@
         fleet.store.compact();
 
         // when
-        String more = "," + Fleet.route("more", "/more/", "idempotent");
-        fleet.store.configure(Fleet.configuration(7, more));
+        String more = "," + ConfigurationText.route("more", "/more/", "idempotent");
+        fleet.store.configure(ConfigurationText.of(7, more));
 
         // then
         Fleet.await(() -> ask(RawCaller.get("/more/1", "r2")).status() == 200);
--- a/relay/src/test/java/org/damaskmoor/relay/PlatformWordsTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/PlatformWordsTest.java
@@ -24,7 +24,8 @@
     void should_keep_the_words_of_the_platform_in_its_folder() throws IOException {
         // when
         List<String> strays = new ArrayList<>();
-        for (String module : List.of("core", "relay", "mesh", "node", "operator", "report")) {
+        for (String module :
+                List.of("core", "relay", "mesh", "node", "operator", "report", "soak")) {
             try (Stream<Path> files = Files.walk(Path.of("..", module, "src", "main"))) {
                 files.filter(file -> file.toString().endsWith(".java"))
                         .filter(PlatformWordsTest::holdsWord)
--- a/relay/src/test/java/org/damaskmoor/relay/StoreReadingTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/StoreReadingTest.java
@@ -4,11 +4,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.damaskmoor.platform.standin.ConfigurationText;
+import org.damaskmoor.platform.standin.RawCaller;
+import org.damaskmoor.platform.standin.StoreStandIn;
+import org.damaskmoor.platform.standin.UpstreamStandIn;
 import org.damaskmoor.relay.fixture.Fleet;
 import org.damaskmoor.relay.fixture.RelayUnderTest;
-import org.damaskmoor.soak.standin.RawCaller;
-import org.damaskmoor.soak.standin.StoreStandIn;
-import org.damaskmoor.soak.standin.UpstreamStandIn;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -21,7 +22,8 @@
     /** Longer than a node rests that asks by itself. */
     private static final long BETWEEN_CHANGES_MILLISECONDS = 1000;
 
-    private static final String MORE = "," + Fleet.route("more", "/more/", "idempotent");
+    private static final String MORE =
+            "," + ConfigurationText.route("more", "/more/", "idempotent");
 
     /** A configuration is to be in force this long after the store has it. */
     private static final long IN_FORCE_MILLISECONDS = 2500;
@@ -60,7 +62,7 @@
 
         // when
         for (int version = 2; version < 2 + CHANGES; version++) {
-            fleet.store.configure(Fleet.configuration(version, MORE));
+            fleet.store.configure(ConfigurationText.of(version, MORE));
             Thread.sleep(BETWEEN_CHANGES_MILLISECONDS);
         }
 
@@ -80,7 +82,7 @@
         reader.kill();
 
         // when
-        fleet.store.configure(Fleet.configuration(7, MORE));
+        fleet.store.configure(ConfigurationText.of(7, MORE));
         long changed = System.nanoTime();
 
         // then
@@ -103,7 +105,7 @@
 
         // when
         fleet.store.mode(StoreStandIn.Mode.NORMAL);
-        fleet.store.configure(Fleet.configuration(7, MORE));
+        fleet.store.configure(ConfigurationText.of(7, MORE));
 
         // then
         for (RelayUnderTest relay : relays) {
--- a/soak/src/main/java/org/damaskmoor/soak/FaultPlayer.java
+++ b/soak/src/main/java/org/damaskmoor/soak/FaultPlayer.java
@@ -9,12 +9,12 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
+import org.damaskmoor.platform.standin.StoreStandIn;
 import org.damaskmoor.soak.fault.FaultyLink;
 import org.damaskmoor.soak.fault.FaultyLink.Mode;
 import org.damaskmoor.soak.fault.PlannedFault;
 import org.damaskmoor.soak.promise.Disturbances;
 import org.damaskmoor.soak.promise.Disturbances.Part;
-import org.damaskmoor.soak.standin.StoreStandIn;
 
 /**
  * Carries out faults, each on a thread of its own, so that they overlap.
--- a/soak/src/main/java/org/damaskmoor/soak/RelayProcess.java
+++ b/soak/src/main/java/org/damaskmoor/soak/RelayProcess.java
@@ -9,7 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import org.damaskmoor.soak.standin.RawCaller;
+import org.damaskmoor.platform.standin.MachineCalls;
 
 /**
  * One relay as a process of its own, with its settings file and its log.
@@ -63,8 +63,8 @@
 
     /** Whether it says that it takes callers. */
     boolean isReady() {
-        try (RawCaller caller = new RawCaller(readiness)) {
-            return caller.ask("GET /v1/ready HTTP/1.1\r\nHost: a\r\n\r\n").status() == 200;
+        try {
+            return MachineCalls.isReady(readiness);
         } catch (IOException notThere) {
             return false;
         }
--- a/soak/src/main/java/org/damaskmoor/soak/SoakCaller.java
+++ b/soak/src/main/java/org/damaskmoor/soak/SoakCaller.java
@@ -3,14 +3,13 @@
 import java.io.IOException;
 import java.net.SocketTimeoutException;
 import java.util.Queue;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
+import org.damaskmoor.platform.standin.RawCaller;
 import org.damaskmoor.soak.fault.FaultyLink;
 import org.damaskmoor.soak.promise.Exchange;
 import org.damaskmoor.soak.promise.Exchange.End;
-import org.damaskmoor.soak.standin.RawCaller;
 
 /**
  * A caller that sends one request after the other over a connection that it uses until the relay
@@ -25,9 +24,6 @@
 
     private static final int OK = 200;
 
-    /** Statuses by which a relay says that a request has not run. */
-    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
-
     private final String name;
     private final int relay;
     private final SoakSite site;
@@ -92,13 +88,8 @@
         try {
             RawCaller.Answer answer = connection.read();
             status = answer.status();
-            if (NOT_RUN_STATUSES.contains(status)) {
-                end = End.SAID_NOT_RUN;
-            }
-            own =
-                    status != OK
-                            || (answer.body().equals("answer to " + id)
-                                    && id.equals(answer.headers().get("request-id")));
+            end = answer.isNotRun() ? End.SAID_NOT_RUN : End.ANSWERED;
+            own = status != OK || answer.isOwn(id);
             usable = !"close".equalsIgnoreCase(answer.headers().get("connection"));
         } catch (SocketTimeoutException silent) {
             end = End.NO_ANSWER;
--- a/soak/src/main/java/org/damaskmoor/soak/SoakSite.java
+++ b/soak/src/main/java/org/damaskmoor/soak/SoakSite.java
@@ -12,9 +12,10 @@
 import java.util.concurrent.ConcurrentSkipListSet;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import org.damaskmoor.platform.standin.ConfigurationText;
+import org.damaskmoor.platform.standin.StoreStandIn;
 import org.damaskmoor.soak.fault.FaultyLink;
 import org.damaskmoor.soak.promise.RunLedger;
-import org.damaskmoor.soak.standin.StoreStandIn;
 
 /**
  * Relays as processes, with the store, upstreams and faulty links around them.
@@ -77,10 +78,7 @@
                         "\n",
                         "node-id=" + name,
                         "region=region-" + number % REGIONS,
-                        "data-centre=data-centre-"
-                                + number % REGIONS
-                                + "-"
-                                + number % (REGIONS + 1),
+                        "data-centre=data-centre-" + number % REGIONS,
                         "service=books",
                         "caller-address=" + text(callers),
                         "link-address=" + text(links),
@@ -141,33 +139,14 @@
     synchronized void changeConfiguration() {
         version++;
         StringBuilder routes = new StringBuilder();
-        routes.append(route("read", "/read/", "idempotent")).append(',');
-        routes.append(route("order", "/order/", "non_idempotent"));
         for (int i = 1; i <= version; i++) {
-            routes.append(',').append(route("v" + i, "/v" + i + "/", "idempotent"));
+            routes.append(',')
+                    .append(ConfigurationText.route("v" + i, "/v" + i + "/", "idempotent"));
         }
-        store.configure(
-                "{\"version\":\""
-                        + Integer.toHexString(version)
-                        + "\",\"routes\":["
-                        + routes
-                        + "],\"services\":[{\"name\":\"books\",\"healthPath\":\"/healthz\","
-                        + "\"maxConnections\":100}],\"limits\":{\"maxHeaderBytes\":4096,"
-                        + "\"maxBodyBytes\":100000,\"headerTimeout\":\"3s\",\"idleTimeout\":\"15s\"}}");
+        store.configure(ConfigurationText.of(version, routes.toString()));
         acknowledged.put(version, clock.getAsLong());
     }
 
-    private static String route(String name, String prefix, String kind) {
-        return "{\"name\":\""
-                + name
-                + "\",\"host\":\"shop.example\",\"prefix\":\""
-                + prefix
-                + "\",\"kind\":\""
-                + kind
-                + "\",\"timeout\":\"2000ms\",\"targetLatency\":\"800ms\",\"priority\":1,"
-                + "\"service\":\"books\",\"maxAttempts\":2}";
-    }
-
     /** The newest version that the store holds. */
     synchronized int version() {
         return version;
--- a/soak/src/main/java/org/damaskmoor/soak/SoakUpstream.java
+++ b/soak/src/main/java/org/damaskmoor/soak/SoakUpstream.java
@@ -7,11 +7,11 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.LongSupplier;
+import org.damaskmoor.platform.standin.MachineCalls;
+import org.damaskmoor.platform.standin.UpstreamStandIn;
+import org.damaskmoor.platform.standin.UpstreamStandIn.Connection;
+import org.damaskmoor.platform.standin.UpstreamStandIn.Request;
 import org.damaskmoor.soak.promise.RunLedger;
-import org.damaskmoor.soak.standin.RawCaller;
-import org.damaskmoor.soak.standin.UpstreamStandIn;
-import org.damaskmoor.soak.standin.UpstreamStandIn.Connection;
-import org.damaskmoor.soak.standin.UpstreamStandIn.Request;
 
 /**
  * The upstream beside one relay: runs requests in its slots, announces itself, and can die, freeze
@@ -104,9 +104,7 @@
             throws IOException, InterruptedException {
         awaitThaw();
         if (!self.slots().tryAcquire()) {
-            connection.send(
-                    "HTTP/1.1 503 Busy\r\nNot-Executed: true\r\nServer-Load: 3,0,3,100\r\n"
-                            + "Content-Length: 0\r\n\r\n");
+            UpstreamStandIn.shed(connection);
             return;
         }
         try {
@@ -146,28 +144,10 @@
     }
 
     private boolean send(Incarnation self, long sequence, String state) {
-        String body =
-                "{\"service\":\"books\",\"address\":\"127.0.0.1:"
-                        + port
-                        + "\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":"
-                        + SLOTS
-                        + ",\"state\":\""
-                        + state
-                        + "\",\"coldRemaining\":\"0ms\",\"seq\":"
-                        + sequence
-                        + ",\"born\":"
-                        + self.born()
-                        + "}";
-        try (RawCaller caller = new RawCaller(announcements)) {
-            RawCaller.Answer answer =
-                    caller.ask(
-                            "POST /v1/Instances.Heartbeat/"
-                                    + self.id()
-                                    + " HTTP/1.1\r\nHost: a\r\nContent-Length: "
-                                    + body.length()
-                                    + "\r\n\r\n"
-                                    + body);
-            return answer.status() == OK;
+        try {
+            return MachineCalls.announce(
+                            announcements, "books", self.id(), self.born(), sequence, state, SLOTS)
+                    == OK;
         } catch (IOException relayIsAway) {
             return false;
         }
