--- a/soak/src/main/java/org/damaskmoor/soak/SoakCaller.java
+++ b/soak/src/main/java/org/damaskmoor/soak/SoakCaller.java
@@ -24,6 +24,9 @@
 
     private static final int OK = 200;
 
+    /** Versions from which a route is taken: the newest is rarely old enough to be due. */
+    private static final int VERSIONS = 4;
+
     private final String name;
     private final int relay;
     private final SoakSite site;
@@ -73,7 +76,7 @@
         sent++;
         String id = name + "-" + sent;
         int choice = random.nextInt(10);
-        int version = choice < 2 ? site.version() : 0;
+        int version = choice < 2 ? Math.max(1, site.version() - random.nextInt(VERSIONS)) : 0;
         boolean order = choice >= 6;
         String request =
                 order
