--- a/relay/src/main/java/org/damaskmoor/relay/internal/StoreReading.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/StoreReading.java
@@ -25,8 +25,8 @@
  * Decides how closely this node asks the store: one node of a data centre reads and tells the
  * others; each reads for itself when it hears of none.
  *
- * <p>Confined to the event loop. Invariant: a node that hears of no reader asks the store as
- * closely as a reader.
+ * <p>Confined to the event loop. Invariant: a node that hears of no reader waits for changes at the
+ * store by itself.
  */
 final class StoreReading {
     /** Changes of the configuration within this time cost one call to the store. */
