Notice by other readers that the store is silent to the reader

Cause: signs went to other data centres of the same region only, of which there was none; and a reader that learnt of a newer version did not doubt its own connection. Change: on a change, signs go to the first two nodes of all other data centres; a node that waits for the store while another has a newer version gives the question up and reads anew. Signs from other regions do not make a node rely on them.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
@@ -111,6 +111,7 @@
                         this::isStoreLost,
                         this::isConfigurationLost,
                         this::askStoreNow,
+                        this::suspectStore,
                         timers,
                         random,
                         log);
@@ -154,6 +155,14 @@
         memberWatch.askNow();
     }
 
+    /** Another node has a change that the store, which is asked for it, has not told this one. */
+    private void suspectStore() {
+        if (configurationWatch.isWaiting()) {
+            configurationWatch.askAnew();
+            memberWatch.askAnew();
+        }
+    }
+
     private void onStoreRegained() {
         memberWatch.askNow();
     }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/StoreReading.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/StoreReading.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.damaskmoor.core.hash.StableHash;
 import org.damaskmoor.core.id.NodeId;
@@ -76,6 +77,7 @@
     private final BooleanSupplier storeLost;
     private final BooleanSupplier configurationLost;
     private final Runnable askStoreNow;
+    private final Runnable suspectStore;
     private final Timers timers;
     private final RandomGenerator random;
     private final EventLog log;
@@ -89,6 +91,7 @@
             BooleanSupplier storeLost,
             BooleanSupplier configurationLost,
             Runnable askStoreNow,
+            Runnable suspectStore,
             Timers timers,
             RandomGenerator random,
             EventLog log) {
@@ -99,6 +102,7 @@
         this.storeLost = storeLost;
         this.configurationLost = configurationLost;
         this.askStoreNow = askStoreNow;
+        this.suspectStore = suspectStore;
         this.timers = timers;
         this.random = random;
         this.log = log;
@@ -112,7 +116,7 @@
             log.event("store-reader").with("reads", reads).write();
         }
         if (reads) {
-            sendSigns();
+            sendSigns(fleet::isInRegion);
         }
         noteInformed();
         timers.after(ReaderElection.PERIOD_MILLISECONDS, this::start);
@@ -124,8 +128,10 @@
             return;
         }
         NodeId sender = new NodeId(sign.getNodeId());
-        election.heard(sender, sign.getStoreAnswers(), timers.now());
-        noteInformed();
+        if (fleet.find(sender).map(fleet::isInRegion).orElse(true)) {
+            election.heard(sender, sign.getStoreAnswers(), timers.now());
+            noteInformed();
+        }
         if (sign.getConfigurationVersion() > configuration.version()) {
             timers.after(TELLING_MILLISECONDS, () -> askForConfiguration(sender, sign));
         }
@@ -135,7 +141,7 @@
     void onConfiguration() {
         if (isReader()) {
             tell(FleetNews.newBuilder().setConfiguration(configuration.text()).build());
-            sendSigns();
+            sendSigns(target -> true);
         }
     }
 
@@ -225,6 +231,7 @@
 
     private void askForConfiguration(NodeId sender, ReaderSign sign) {
         if (sign.getConfigurationVersion() > configuration.version()) {
+            suspectStore.run();
             FleetRequest request =
                     FleetRequest.newBuilder()
                             .setConfigurationVersion(configuration.version())
@@ -234,7 +241,8 @@
         }
     }
 
-    private void sendSigns() {
+    /** Other regions hear of changes only: bytes between regions are dear. */
+    private void sendSigns(Predicate<FleetTarget> elsewhere) {
         ReaderSign sign =
                 ReaderSign.newBuilder()
                         .setNodeId(self.value())
@@ -242,13 +250,13 @@
                         .setStoreAnswers(!storeLost.getAsBoolean())
                         .build();
         fleet.inDataCentre().forEach(target -> target.link().send(sign));
-        firstOfEachOther().forEach(target -> target.link().send(sign));
+        firstOfEachOther().stream().filter(elsewhere).forEach(target -> target.link().send(sign));
     }
 
     /** The nodes of the other data centres that are most likely to be their readers. */
     private Collection<FleetTarget> firstOfEachOther() {
         Map<String, List<FleetTarget>> byDataCentre = new HashMap<>();
-        for (FleetTarget target : fleet.elsewhereInRegion()) {
+        for (FleetTarget target : fleet.elsewhere()) {
             byDataCentre
                     .computeIfAbsent(target.member().getDataCentre(), name -> new ArrayList<>())
                     .add(target);
--- a/relay/src/main/java/org/damaskmoor/relay/internal/fleet/FleetDirectory.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/FleetDirectory.java
@@ -97,12 +97,14 @@
         return targets.values().stream().filter(this::isInDataCentre).toList();
     }
 
-    /** The nodes of the other data centres of this region. */
-    public List<FleetTarget> elsewhereInRegion() {
-        return targets.values().stream()
-                .filter(target -> target.member().getRegion().equals(region.value()))
-                .filter(target -> !isInDataCentre(target))
-                .toList();
+    /** The nodes of the other data centres. */
+    public List<FleetTarget> elsewhere() {
+        return targets.values().stream().filter(target -> !isInDataCentre(target)).toList();
+    }
+
+    /** Whether a node is in the region of this one. */
+    public boolean isInRegion(FleetTarget target) {
+        return target.member().getRegion().equals(region.value());
     }
 
     private boolean isInDataCentre(FleetTarget target) {
--- a/relay/src/main/java/org/damaskmoor/relay/internal/fleet/TableWatch.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/TableWatch.java
@@ -32,6 +32,7 @@
     private final Pace pace;
     private final Runnable onRegained;
     private int failures;
+    private long question;
     private Optional<Rest> resting = Optional.empty();
     private boolean lost;
     private boolean stopped;
@@ -102,15 +103,38 @@
         ended.ifPresent(Rest::end);
     }
 
+    /** Whether it waits for the store to tell a change. */
+    public boolean isWaiting() {
+        return resting.isEmpty() && !lost;
+    }
+
+    /** Gives the present question up, as its connection may be silent, and reads anew. */
+    public void askAnew() {
+        log.event("store-asked-anew").with("table", table).write();
+        resting.ifPresent(rest -> rest.timer().cancel());
+        resting = Optional.empty();
+        start();
+    }
+
+    /** Whether an answer belongs to a question that was given up. */
+    private boolean isOutdated(long answered) {
+        return stopped || answered != question;
+    }
+
     /** Whether the store did not answer the last time. */
     public boolean isLost() {
         return lost;
     }
 
     private void read(String fromKey, List<StoredRow> before) {
+        question++;
+        long asked = question;
         store.read(table, fromKey)
                 .whenComplete(
                         (page, failure) -> {
+                            if (isOutdated(asked)) {
+                                return;
+                            }
                             if (failure != null) {
                                 onFailure(failure, this::start);
                             } else {
@@ -139,9 +163,14 @@
         if (stopped) {
             return;
         }
+        question++;
+        long asked = question;
         store.watch(table, version)
                 .whenComplete(
                         (page, failure) -> {
+                            if (isOutdated(asked)) {
+                                return;
+                            }
                             if (failure != null) {
                                 onFailure(failure, this::start);
                             } else {
@@ -163,9 +192,6 @@
 
     private void onFailure(Throwable failure, Runnable next) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
-        if (stopped) {
-            return;
-        }
         if (cause instanceof HistoryGoneException) {
             log.event("history-gone").with("table", table).write();
             start();
