Let each relay wait for the configuration by itself again

Change: the configuration is waited for by each relay as before; members are told by the reader of a data centre, and a sign with a newer version makes a relay ask the sender and doubt its own connection. The pauses while the store is away are as before but for the second table.

--- a/core/src/main/java/org/damaskmoor/core/readers/ReaderElection.java
+++ b/core/src/main/java/org/damaskmoor/core/readers/ReaderElection.java
@@ -9,8 +9,8 @@
 /**
  * Elects the node of a data centre that asks the platform's store on behalf of the others.
  *
- * <p>Answers a load that grows with the fleet: when each node waits for changes by itself, each
- * change costs one call to the store for every node.
+ * <p>Answers a load that grows with the fleet: when each node waits for changes of members by
+ * itself, each change costs one call to the store for every node.
  *
  * <p>The first node in the order of their hashes reads and sends a sign at intervals. When no sign
  * of a node before it has come for a while, the next one takes over; later ones wait longer, so
@@ -22,10 +22,7 @@
     /** How often a reader sends its sign; a fraction of the timeout, so that one may be lost. */
     public static final long PERIOD_MILLISECONDS = 600;
 
-    /**
-     * Silence after which a reader counts as gone. With the period that others look at it and one
-     * call to the store it stays within the 2.5 s in which a change is to be in force.
-     */
+    /** Silence after which a reader counts as gone: two signs may be lost or late. */
     public static final long TIMEOUT_MILLISECONDS = 1400;
 
     /** How much later each further node takes over: time for a sign to arrive. */
@@ -69,11 +66,6 @@
         return rank == 0 || now - silentSince >= TIMEOUT_MILLISECONDS + rank * STEP_MILLISECONDS;
     }
 
-    /** Whether some reader was heard lately. */
-    public boolean hearsReader(long now) {
-        return signs.values().stream().anyMatch(sign -> isFresh(sign, now));
-    }
-
     /** Whether some reader that the store answers was heard lately. */
     public boolean isInformed(long now) {
         return signs.values().stream().anyMatch(sign -> sign.storeAnswers() && isFresh(sign, now));
--- a/relay/src/main/java/org/damaskmoor/relay/internal/PeerNews.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/PeerNews.java
@@ -26,32 +26,25 @@
     /** Peers asked each time, so that one that is itself cut off does not matter. */
     private static final int PEERS = 2;
 
-    /** Periods between questions while a reader is heard, which tells what it learns. */
-    private static final int PERIODS_WITH_READER = 4;
-
     private final FleetDirectory fleet;
     private final ConfigurationHolder configuration;
     private final CrashBoard crashes;
     private final BooleanSupplier storeLost;
-    private final BooleanSupplier readerHeard;
     private final Timers timers;
     private final RandomGenerator random;
     private final List<CallLink> seeds = new ArrayList<>();
-    private int periods;
 
     PeerNews(
             FleetDirectory fleet,
             ConfigurationHolder configuration,
             CrashBoard crashes,
             BooleanSupplier storeLost,
-            BooleanSupplier readerHeard,
             Timers timers,
             RandomGenerator random) {
         this.fleet = fleet;
         this.configuration = configuration;
         this.crashes = crashes;
         this.storeLost = storeLost;
-        this.readerHeard = readerHeard;
         this.timers = timers;
         this.random = random;
     }
@@ -67,9 +60,7 @@
     }
 
     private void ask() {
-        periods++;
-        boolean seldom = readerHeard.getAsBoolean() && configuration.version() > 0;
-        if (storeLost.getAsBoolean() && (!seldom || periods % PERIODS_WITH_READER == 0)) {
+        if (storeLost.getAsBoolean()) {
             FleetRequest request =
                     FleetRequest.newBuilder()
                             .setConfigurationVersion(configuration.version())
--- a/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
@@ -126,14 +126,7 @@
                         reading.configurationPace(),
                         this::onStoreRegained);
         this.peerNews =
-                new PeerNews(
-                        fleet,
-                        configuration,
-                        crashes,
-                        this::isStoreLost,
-                        reading::hearsReader,
-                        timers,
-                        random);
+                new PeerNews(fleet, configuration, crashes, this::isStoreLost, timers, random);
         this.ports = ports(loop);
         this.stop = new GracefulStop(timers, settings.stopMilliseconds());
         metrics.gauge("open-requests", entry::openRequests);
--- a/relay/src/main/java/org/damaskmoor/relay/internal/StoreReading.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/StoreReading.java
@@ -23,8 +23,9 @@
 import org.damaskmoor.schema.link.ReaderSign;
 
 /**
- * Decides how closely this node asks the store: one node of a data centre reads and tells the
- * others; each reads for itself when it hears of none.
+ * Decides how closely this node asks the store. Each node waits for the configuration by itself, so
+ * that it is in force in time whatever becomes of others; of members one node of a data centre
+ * tells the others, and each asks for itself when it hears of none.
  *
  * <p>Confined to the event loop. Invariant: a node that hears of no reader waits for changes at the
  * store by itself.
@@ -55,17 +56,14 @@
     /** Longest pause of a node that has to find out by itself that the store is back. */
     private static final long LONGEST_PAUSE_MILLISECONDS = 1200;
 
-    /** Pause of a node that hears a reader, which tells it when the store is back. */
-    private static final long OTHERS_PAUSE_MILLISECONDS = 4000;
-
     /** Pause of a table beside another one whose return is awaited. */
     private static final long SECOND_TABLE_PAUSE_MILLISECONDS = 8000;
 
     /** Nodes of each other data centre that get signs: two, so that one may be lost. */
     private static final int SIGNS_ELSEWHERE = 2;
 
-    /** Time for a configuration to arrive from the reader of the own data centre. */
-    private static final long TELLING_MILLISECONDS = 150;
+    /** Time in which a node learns of a configuration by itself, its rest included. */
+    private static final long OWN_NEWS_MILLISECONDS = 900;
 
     /** Nodes that learn at once that the store is back ask it within this time. */
     private static final long RETURN_SPREAD_MILLISECONDS = 400;
@@ -133,14 +131,13 @@
             noteInformed();
         }
         if (sign.getConfigurationVersion() > configuration.version()) {
-            timers.after(TELLING_MILLISECONDS, () -> askForConfiguration(sender, sign));
+            timers.after(OWN_NEWS_MILLISECONDS, () -> askForConfiguration(sender, sign));
         }
     }
 
     /** A newer configuration is in force here. */
     void onConfiguration() {
         if (isReader()) {
-            tell(FleetNews.newBuilder().setConfiguration(configuration.text()).build());
             sendSigns(target -> true);
         }
     }
@@ -152,17 +149,12 @@
         }
     }
 
-    /** Whether a reader is heard, whether or not the store answers it. */
-    boolean hearsReader() {
-        return election.hearsReader(timers.now());
-    }
-
     /** How closely the configuration is asked for. */
     TableWatch.Pace configurationPace() {
         return new TableWatch.Pace() {
             @Override
             public long restMilliseconds() {
-                return isInformed() ? informedRest() : CONFIGURATION_REST_MILLISECONDS;
+                return CONFIGURATION_REST_MILLISECONDS;
             }
 
             @Override
@@ -199,10 +191,7 @@
         return INFORMED_REST_MILLISECONDS + random.nextLong(INFORMED_REST_SPREAD_MILLISECONDS);
     }
 
-    private long pause(int failures) {
-        if (hearsReader() && !reader) {
-            return OTHERS_PAUSE_MILLISECONDS;
-        }
+    private static long pause(int failures) {
         long doubled = FIRST_PAUSE_MILLISECONDS << Math.min(failures - 1, MOST_DOUBLINGS);
         return Math.min(doubled, LONGEST_PAUSE_MILLISECONDS);
     }
