Let a new reader tell its data centre all members

Found by StoreReadingTest (should_learn_of_new_members_from_the_reader, one failure): a node that joins with the smallest hash takes over, and what the former reader had not yet read, the new reader's own record among it, was told by nobody until the others asked for themselves after 12 to 16 s. A new reader now tells all members it knows, and a reader tells its own record.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/MemberRows.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/MemberRows.java
@@ -43,7 +43,8 @@
         fleet.onChange(row);
         if (row.key().equals(self.value())) {
             ownRecord.onStored(row);
-        } else if (!row.key().isEmpty()) {
+        }
+        if (!row.key().isEmpty()) {
             changed(row)
                     .map(member -> FleetNews.newBuilder().addMembers(member).build())
                     .ifPresent(reading::tell);
--- a/relay/src/main/java/org/damaskmoor/relay/internal/StoreReading.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/StoreReading.java
@@ -112,6 +112,7 @@
         if (reads != reader) {
             reader = reads;
             log.event("store-reader").with("reads", reads).write();
+            tellAll();
         }
         if (reads) {
             sendSigns(fleet::isInRegion);
@@ -142,6 +143,13 @@
         }
     }
 
+    /** Tells what the former reader may have missed, this node's own record included. */
+    private void tellAll() {
+        FleetNews.Builder news = FleetNews.newBuilder();
+        fleet.all().forEach(target -> news.addMembers(target.member()));
+        tell(news.build());
+    }
+
     /** Tells the data centre, if this node reads for it. */
     void tell(FleetNews news) {
         if (isReader()) {
