Bound what an upstream or a stranger can make a relay buffer

Cause: the body of an upstream's answer grew in UpstreamConnection without a bound, interim and foreign answers were skipped without end, and the first frame of a link could announce 72 MB. A process with 96 MB of heap ends on one such answer, and with it all calls that run on it.

Ruled out: the route's timeout as the bound (a fast upstream sends 270 MB within 2 s); headers, trailers, chunk sizes and bytes that are not HTTP, which the codec already bounds.

Change: max-answer-bytes (8 MB by default, a checked setting) for a body and for what is skipped before it, 32 skipped answers, 64 KB for a health answer and for the first frame of a link. BufferBudget bounds what incomplete answers hold together at 24 MB: beyond, only the first one is read on. Idle connections on which anything arrives are closed. The caller gets 502 at once, since the request may have run. UpstreamConnectionPool: the set that was only written is gone, and expired connections behind a live one close.

Not bounded yet: the sum of callers' request bodies and of answers that wait for slow callers.

--- a/relay/src/main/java/org/damaskmoor/relay/CdsTrainingRun.java
+++ b/relay/src/main/java/org/damaskmoor/relay/CdsTrainingRun.java
@@ -90,7 +90,8 @@
                 0,
                 0,
                 1000,
-                1);
+                1,
+                RelaySettings.DEFAULT_MAX_ANSWER_BYTES);
     }
 
     private static InetSocketAddress freeAddress() throws IOException {
--- a/relay/src/main/java/org/damaskmoor/relay/RelaySettings.java
+++ b/relay/src/main/java/org/damaskmoor/relay/RelaySettings.java
@@ -31,6 +31,7 @@
  * @param retrySlack retries allowed in addition, over all nodes and a window
  * @param retryWindowMilliseconds length of that window
  * @param healthChecksPerSecond greatest rate of health checks of the upstream
+ * @param maxAnswerBytes greatest length of the body of an upstream's answer
  */
 public record RelaySettings(
         NodeId node,
@@ -51,7 +52,11 @@
         double retryRatio,
         double retrySlack,
         long retryWindowMilliseconds,
-        double healthChecksPerSecond) {
+        double healthChecksPerSecond,
+        long maxAnswerBytes) {
+    /** {@code maxAnswerBytes} if the settings don't say: fits several times into a small heap. */
+    public static final long DEFAULT_MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+
     public RelaySettings {
         seeds = List.copyOf(seeds);
     }
--- a/relay/src/main/java/org/damaskmoor/relay/RelaySettingsReader.java
+++ b/relay/src/main/java/org/damaskmoor/relay/RelaySettingsReader.java
@@ -26,6 +26,8 @@
  */
 public final class RelaySettingsReader {
     private static final long MILLISECONDS_PER_SECOND = 1000;
+    private static final long LEAST_MAX_ANSWER_BYTES = 64 * 1024;
+    private static final long GREATEST_MAX_ANSWER_BYTES = 64 * 1024 * 1024;
 
     private final Properties properties;
     private final List<SettingFault> faults = new ArrayList<>();
@@ -87,6 +89,10 @@
         Optional<Long> window = value("retry-window", RelaySettingsReader::parseMilliseconds);
         Optional<Double> checks =
                 value("health-checks-per-second", RelaySettingsReader::parseNonNegative);
+        Optional<Long> maxAnswerBytes =
+                text("max-answer-bytes").isEmpty()
+                        ? Optional.of(RelaySettings.DEFAULT_MAX_ANSWER_BYTES)
+                        : value("max-answer-bytes", RelaySettingsReader::parseMaxAnswerBytes);
         if (!faults.isEmpty()) {
             throw new SettingsException(faults);
         }
@@ -109,7 +115,8 @@
                 ratio.get(),
                 slack.get(),
                 window.get(),
-                checks.get());
+                checks.get(),
+                maxAnswerBytes.get());
     }
 
     private String text(String name) {
@@ -152,6 +159,18 @@
         throw new IllegalArgumentException("a number that ends with ms or s");
     }
 
+    private static long parseMaxAnswerBytes(String text) {
+        long bytes = Math.round(parseNonNegative(text));
+        if (bytes < LEAST_MAX_ANSWER_BYTES || bytes > GREATEST_MAX_ANSWER_BYTES) {
+            throw new IllegalArgumentException(
+                    "a number of bytes from "
+                            + LEAST_MAX_ANSWER_BYTES
+                            + " to "
+                            + GREATEST_MAX_ANSWER_BYTES);
+        }
+        return bytes;
+    }
+
     private static double parseNonNegative(String text) {
         double number = Double.parseDouble(text);
         if (!(number >= 0)) {
--- a/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
@@ -173,6 +173,7 @@
                         new LedgerLimits(LEDGER_ENTRIES, LEDGER_ANSWER_BYTES, LEDGER_FENCES)),
                 loop,
                 settings.upstream(),
+                settings.maxAnswerBytes(),
                 timers,
                 log,
                 new NodeTargetCallbacks(
--- a/relay/src/main/java/org/damaskmoor/relay/internal/link/IncomingLink.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/IncomingLink.java
@@ -84,6 +84,7 @@
         String expected = hello.getExpectedNodeId();
         boolean isIntendedNode = expected.equals(targetHello.getNodeId());
         acceptsCalls = isIntendedNode && server.register(this);
+        FrameCodec.acceptLargeFrames(context.channel());
         write(LinkFrame.newBuilder().setHello(targetHello));
         if (!acceptsCalls && !expected.isEmpty()) {
             fence();
--- a/relay/src/main/java/org/damaskmoor/relay/internal/link/OutgoingLink.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/OutgoingLink.java
@@ -309,7 +309,11 @@
     }
 
     private void onHello(LinkHello hello) {
+        if (helloReceived) {
+            return;
+        }
         helloReceived = true;
+        FrameCodec.acceptLargeFrames(channel);
         backoff = MIN_BACKOFF_MILLISECONDS;
         targetIncarnation = hello.getIncarnation();
         listener.onHello(peer, hello);
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetCallHandler.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetCallHandler.java
@@ -72,6 +72,7 @@
             TargetLedger ledger,
             EventLoop loop,
             InetSocketAddress upstream,
+            long maxAnswerBytes,
             Timers timers,
             EventLog log,
             TargetCallbacks callbacks,
@@ -85,7 +86,8 @@
         this.loadReporter = new TargetLoadReporter(tracker, queue);
         this.replySender = new TargetReplySender(timers, log, this::load);
         this.openCalls = new OpenCalls(ledger, replySender);
-        UpstreamConnectionPool pool = new UpstreamConnectionPool(loop, upstream, timers);
+        UpstreamConnectionPool pool =
+                new UpstreamConnectionPool(loop, upstream, maxAnswerBytes, timers);
         this.slownessProbe =
                 new SlownessProbe(
                         pool,
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnection.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnection.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.damaskmoor.core.buffer.BufferBudget;
 import org.damaskmoor.core.upstream.UpstreamLoad;
 import org.damaskmoor.platform.protocol.HeaderNames;
 import org.damaskmoor.platform.protocol.LoadDecoder;
@@ -26,10 +27,14 @@
  * An HTTP connection to the upstream that carries one call at a time.
  *
  * <p>Only an answer with the id of the current request is accepted. Another one is a late answer to
- * an earlier call, or a duplicate, and is skipped. Interim (1xx) answers are skipped.
+ * an earlier call, or a duplicate, and is skipped. Interim (1xx) answers are skipped. An upstream
+ * that does not stop sending is cut off at a bound. While many large answers arrive together, some
+ * are not read until others are complete.
  *
- * <p>Confined to the event loop. Invariants: a call has one outcome; after an unsolicited answer,
- * unreadable bytes, or an answer before the request was sent in full, the connection is not reused.
+ * <p>Confined to the event loop. Invariants: a call has one outcome; the body of an answer is at
+ * most {@code maxAnswerBytes} long, and so are the skipped bodies of a call together; after an
+ * unsolicited answer, unreadable bytes, or an answer before the request was sent in full, the
+ * connection is not reused.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
     private static final int MISDIRECTED_REQUEST = 421;
@@ -37,7 +42,15 @@
     private static final int TOO_MANY_REQUESTS = 429;
     private static final int SERVICE_UNAVAILABLE = 503;
 
+    /** Interim and foreign answers that may precede the answer to a call. */
+    private static final int MAX_SKIPPED_ANSWERS = 32;
+
+    /** Greatest length of the body of an answer to a health check. */
+    private static final long MAX_HEALTH_ANSWER_BYTES = 64 * 1024;
+
     private final UpstreamConnectionPool pool;
+    private final long maxAnswerBytes;
+    private final BufferBudget<UpstreamConnection> budget;
     private Channel channel;
     private Consumer<UpstreamOutcome> pendingOutcome;
     private String requestId = "";
@@ -46,12 +59,20 @@
     private HttpResponse head;
     private boolean skippingBody;
     private boolean healthChecking;
+    private int skippedAnswers;
+    private long skippedBytes;
     private ByteString.Output body;
     private long idleSince;
     private long keepAliveMilliseconds;
 
-    UpstreamConnection(UpstreamConnectionPool pool, long keepAliveMilliseconds) {
+    UpstreamConnection(
+            UpstreamConnectionPool pool,
+            long maxAnswerBytes,
+            BufferBudget<UpstreamConnection> budget,
+            long keepAliveMilliseconds) {
         this.pool = pool;
+        this.maxAnswerBytes = maxAnswerBytes;
+        this.budget = budget;
         this.keepAliveMilliseconds = keepAliveMilliseconds;
     }
 
@@ -60,6 +81,8 @@
         requestId = callerRequestId;
         pendingOutcome = outcome;
         head = null;
+        skippedAnswers = 0;
+        skippedBytes = 0;
         written = channel.writeAndFlush(request);
     }
 
@@ -79,6 +102,7 @@
     /** Abandons the current call and closes the connection. */
     void abandon() {
         pendingOutcome = null;
+        releaseBuffer();
         channel.close();
     }
 
@@ -131,6 +155,11 @@
     }
 
     private void onHead(HttpResponse response) {
+        if (pendingOutcome == null) {
+            notReusable = true;
+            channel.close();
+            return;
+        }
         head = response;
         body = ByteString.newOutput();
         boolean interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
@@ -138,16 +167,31 @@
                 healthChecking
                         ? response.headers().contains(HeaderNames.UPSTREAM_ID)
                         : requestId.equals(response.headers().get(HeaderNames.REQUEST_ID));
-        boolean refused = isRefusal(response);
-        skippingBody = interim || pendingOutcome == null || !(matchesRequest || refused);
-        if (skippingBody && !interim) {
-            notReusable = true;
-            if (pendingOutcome == null) {
-                channel.close();
+        skippingBody = interim || !(matchesRequest || isRefusal(response));
+        if (skippingBody) {
+            notReusable |= !interim;
+            skippedAnswers++;
+            if (skippedAnswers > MAX_SKIPPED_ANSWERS) {
+                fail("the upstream sent more than " + MAX_SKIPPED_ANSWERS + " other answers");
             }
+        } else if (HttpUtil.getContentLength(response, 0L) > bodyLimit()) {
+            fail(tooLong());
         }
     }
 
+    private void fail(String detail) {
+        head = null;
+        end(new UpstreamOutcome.Failed(detail));
+    }
+
+    private long bodyLimit() {
+        return healthChecking ? MAX_HEALTH_ANSWER_BYTES : maxAnswerBytes;
+    }
+
+    private String tooLong() {
+        return "the answer is longer than " + bodyLimit() + " bytes";
+    }
+
     /** An upstream may refuse a request before reading it, and then sends no request id. */
     private static boolean isRefusal(HttpResponse response) {
         boolean refused =
@@ -157,10 +201,18 @@
     }
 
     private void onContent(HttpContent content) {
-        if (!skippingBody) {
-            byte[] bytes = new byte[content.content().readableBytes()];
-            content.content().getBytes(content.content().readerIndex(), bytes);
-            body.write(bytes, 0, bytes.length);
+        int length = content.content().readableBytes();
+        if (skippingBody) {
+            skippedBytes += length;
+            if (skippedBytes > maxAnswerBytes) {
+                fail("other answers are longer than " + maxAnswerBytes + " bytes");
+                return;
+            }
+        } else if (body.size() + (long) length > bodyLimit()) {
+            fail(tooLong());
+            return;
+        } else {
+            append(content, length);
         }
         if (content instanceof LastHttpContent) {
             boolean accepted = !skippingBody;
@@ -173,6 +225,25 @@
         }
     }
 
+    private void append(HttpContent content, int length) {
+        byte[] bytes = new byte[length];
+        content.content().getBytes(content.content().readerIndex(), bytes);
+        body.write(bytes, 0, length);
+        if (!budget.add(this, length)) {
+            channel.config().setAutoRead(false);
+        }
+    }
+
+    /** Continues to read an answer after other answers have ended. */
+    private void resume() {
+        channel.config().setAutoRead(true);
+    }
+
+    private void releaseBuffer() {
+        channel.config().setAutoRead(true);
+        budget.release(this).forEach(UpstreamConnection::resume);
+    }
+
     private void finish(HttpResponse response) {
         boolean reusable =
                 !notReusable
@@ -210,6 +281,8 @@
         Consumer<UpstreamOutcome> receiver = pendingOutcome;
         pendingOutcome = null;
         healthChecking = false;
+        body = null;
+        releaseBuffer();
         if (outcome instanceof UpstreamOutcome.Failed) {
             notReusable = true;
         }
@@ -227,6 +300,7 @@
     public void channelInactive(ChannelHandlerContext context) {
         notReusable = true;
         pool.remove(this);
+        releaseBuffer();
         if (pendingOutcome != null) {
             end(new UpstreamOutcome.Failed("the upstream closed the connection"));
         }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnectionPool.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnectionPool.java
@@ -11,12 +11,10 @@
 import io.netty.handler.codec.http.HttpClientCodec;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
-import java.util.HashSet;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
+import org.damaskmoor.core.buffer.BufferBudget;
 import org.damaskmoor.core.upstream.UpstreamId;
 import org.damaskmoor.core.upstream.UpstreamLoad;
 import org.damaskmoor.relay.internal.time.Timers;
@@ -36,6 +34,9 @@
     private static final int MAX_LINE_BYTES = 16 * 1024;
     private static final int MAX_CHUNK_BYTES = 64 * 1024;
 
+    /** Bytes of incomplete answers that are buffered together; a quarter of a 96 MB heap. */
+    private static final long MAX_BUFFERED_BYTES = 24 * 1024 * 1024;
+
     /** Timeout of a health check; short, because calls may wait for its result. */
     private static final long CHECK_TIMEOUT_MILLISECONDS = 30;
 
@@ -54,10 +55,13 @@
     private final Timers timers;
     private final Bootstrap bootstrap;
     private final ArrayDeque<UpstreamConnection> idle = new ArrayDeque<>();
-    private final Set<UpstreamConnection> all = new HashSet<>();
+    private final long maxAnswerBytes;
+    private final BufferBudget<UpstreamConnection> budget = new BufferBudget<>(MAX_BUFFERED_BYTES);
 
-    UpstreamConnectionPool(EventLoop loop, InetSocketAddress address, Timers timers) {
+    UpstreamConnectionPool(
+            EventLoop loop, InetSocketAddress address, long maxAnswerBytes, Timers timers) {
         this.address = address;
+        this.maxAnswerBytes = maxAnswerBytes;
         this.timers = timers;
         this.bootstrap =
                 new Bootstrap()
@@ -139,7 +143,6 @@
 
     void remove(UpstreamConnection connection) {
         idle.remove(connection);
-        all.remove(connection);
     }
 
     private UpstreamConnection takeIdle(boolean nonIdempotent) {
@@ -155,23 +158,20 @@
     }
 
     private void closeExpired(long now) {
-        Iterator<UpstreamConnection> connections = List.copyOf(idle).iterator();
-        while (connections.hasNext()) {
-            UpstreamConnection connection = connections.next();
+        for (UpstreamConnection connection : List.copyOf(idle)) {
             long reusableMilliseconds =
                     connection.keepAliveMilliseconds() - KEEP_ALIVE_MARGIN_MILLISECONDS;
-            if (now - connection.idleSince() < reusableMilliseconds) {
-                return;
+            if (now - connection.idleSince() >= reusableMilliseconds) {
+                idle.remove(connection);
+                connection.close();
             }
-            idle.remove(connection);
-            connection.close();
         }
     }
 
     private void initialize(Channel channel) {
         UpstreamConnection connection =
-                new UpstreamConnection(this, DEFAULT_KEEP_ALIVE_MILLISECONDS);
-        all.add(connection);
+                new UpstreamConnection(
+                        this, maxAnswerBytes, budget, DEFAULT_KEEP_ALIVE_MILLISECONDS);
         channel.pipeline()
                 .addLast(
                         new HttpClientCodec(
