Call the store from readers only, once a node has started

Each node waited for the configuration by itself, asked for members every 12 to 16 s, and many took themselves for the reader while a new fleet started, with the short poll delay of a reader.

Change: a heartbeat says that the store answers only if it did within 5 s; the reader's calls for the configuration wait 4 s at most, so that each end is evidence. The second node in rank waits for the configuration too. A node that hears of a healthy reader rests, takes the configuration from the sender of a heartbeat with a newer version, and compares a digest of its members with the reader's; a difference that lasts is read from the store. A node that the store did not know before neither reads for others nor polls for 3 s. While the store is away, nodes of higher rank poll at most every 2.4 s. Rows that can't be processed no longer end a watch.

--- a/core/src/main/java/org/damaskmoor/core/election/ReaderElection.java
+++ b/core/src/main/java/org/damaskmoor/core/election/ReaderElection.java
@@ -36,6 +36,7 @@
     private static final long RANK_DELAY_MILLISECONDS = 150;
 
     private final NodeId self;
+    private final long ownHash;
     private final long startedAt;
     private final Map<NodeId, Heartbeat> heartbeats = new HashMap<>();
 
@@ -49,6 +50,7 @@
      */
     public ReaderElection(NodeId self, long now) {
         this.self = self;
+        this.ownHash = StableHash.of(self.value());
         this.startedAt = now;
     }
 
@@ -61,13 +63,21 @@
         heartbeats.put(reader, new Heartbeat(now, storeAnswers));
     }
 
+    /** Number of nodes of the data centre that are preferred to this node as the reader. */
+    public long rank(Collection<NodeId> dataCentre) {
+        return dataCentre.stream().filter(this::isPreferred).count();
+    }
+
+    private boolean isPreferred(NodeId node) {
+        return !node.equals(self) && StableHash.of(node.value()) < ownHash;
+    }
+
     /** Whether this node is a reader for its data centre. */
     public boolean isReader(Collection<NodeId> dataCentre, long now) {
-        long ownHash = StableHash.of(self.value());
         long lastHeartbeatAt = startedAt;
         long rank = 0;
         for (NodeId node : dataCentre) {
-            if (!node.equals(self) && StableHash.of(node.value()) < ownHash) {
+            if (isPreferred(node)) {
                 rank++;
                 Heartbeat heartbeat = heartbeats.get(node);
                 lastHeartbeatAt =
--- a/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
@@ -108,10 +108,8 @@
                         self,
                         fleet,
                         configuration,
-                        this::isStoreLost,
-                        this::isConfigurationLost,
-                        this::pollStoreNow,
-                        this::rereadIfWaiting,
+                        new NodeStoreWatches(
+                                this::configurationWatch, this::memberWatch, this::isStoreLost),
                         timers,
                         random,
                         log);
@@ -126,7 +124,7 @@
                         reader.configurationPolicy(),
                         this::onStoreRegained);
         this.peerSync =
-                new PeerSync(fleet, configuration, quarantine, this::isStoreLost, timers, random);
+                new PeerSync(fleet, configuration, quarantine, this::isUninformed, timers, random);
         this.ports = createPorts(loop);
         this.stop = new GracefulStop(timers, settings.stopMilliseconds());
         metrics.gauge("open-requests", entry::openRequests);
@@ -143,27 +141,10 @@
         return new TableWatch(table, store, timers, random, log, listener, pollPolicy, onRegained);
     }
 
-    private void pollStoreNow() {
-        configurationWatch.pollNow();
-        memberWatch.pollNow();
-    }
-
-    /** Rereads both tables if a watch has not returned a change that a peer already knows. */
-    private void rereadIfWaiting() {
-        if (configurationWatch.isWaiting()) {
-            configurationWatch.rereadTable();
-            memberWatch.rereadTable();
-        }
-    }
-
     private void onStoreRegained() {
         memberWatch.pollNow();
     }
 
-    private boolean isConfigurationLost() {
-        return configurationWatch.isLost();
-    }
-
     private TargetCallHandler createTarget(EventLoop loop) {
         return new TargetCallHandler(
                 incarnation,
@@ -371,6 +352,12 @@
                 || !fleet.hasSnapshot();
     }
 
+    /** Whether neither the store nor a reader tells this node of changes. */
+    private boolean isUninformed() {
+        boolean started = configuration.table().isPresent() && fleet.hasSnapshot();
+        return isStoreLost() && !(started && reader.isInformed());
+    }
+
     private CallerLimits callerLimits() {
         return configuration.table().map(RouteTable::limits).orElse(CallerLimits.UNCONFIGURED);
     }
@@ -389,6 +376,14 @@
         return configuration.version();
     }
 
+    private TableWatch configurationWatch() {
+        return configurationWatch;
+    }
+
+    private TableWatch memberWatch() {
+        return memberWatch;
+    }
+
     private EntryRequestHandler entry() {
         return entry;
     }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/StoreReaderCoordinator.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/StoreReaderCoordinator.java
@@ -1,17 +1,19 @@
 package org.damaskmoor.relay.internal;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import org.damaskmoor.core.election.DigestComparison;
 import org.damaskmoor.core.election.ReaderElection;
 import org.damaskmoor.core.hash.StableHash;
 import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.platform.protocol.HttpRowStore;
 import org.damaskmoor.relay.internal.fleet.ConfigurationHolder;
 import org.damaskmoor.relay.internal.fleet.FleetDirectory;
 import org.damaskmoor.relay.internal.fleet.FleetTarget;
@@ -23,13 +25,18 @@
 import org.damaskmoor.schema.link.ReaderSign;
 
 /**
- * Decides how often this node polls the store. Every node watches the configuration itself, so that
- * a change is in force in time whichever other nodes fail. Changes of members are read by one node
- * of each data centre, the reader, which sends them to the others; a node that gets no heartbeat of
- * a reader polls for itself.
+ * Decides when this node calls the store, so that the number of calls does not grow with the fleet.
  *
- * <p>Confined to the event loop. Invariant: a node that gets no heartbeat of a reader waits for
- * changes at the store itself.
+ * <p>One node of each data centre, the reader, waits for changes at the store and tells the others.
+ * Its heartbeats carry the version of its configuration and a digest of its members; a node that
+ * differs requests the configuration from the sender, and reads the members itself if the
+ * difference lasts. The next node in rank also waits for the configuration, so that it does not
+ * depend on one connection to the store. All other nodes call the store only to start, to write
+ * their own record, and while they hear of no reader that the store has answered recently.
+ *
+ * <p>Confined to the event loop. Invariants: a node that hears of no healthy reader waits for
+ * changes at the store itself; a heartbeat says that the store answers only if it has answered its
+ * sender within {@link #MAX_ANSWER_AGE_MILLISECONDS}.
  */
 final class StoreReaderCoordinator {
     /** Changes of the configuration within this time cost one call to the store. */
@@ -45,20 +52,33 @@
     private static final long MEMBER_DELAY_MILLISECONDS = 2500;
 
     /**
-     * Poll delay of a node that is informed by a reader; shorter than the store keeps its history,
-     * because after that the node would have to read the whole table again.
+     * Time for which a node that the store did not know before neither becomes a reader nor waits
+     * for changes, because the first nodes of a new fleet do not know each other yet.
+     */
+    private static final long JOIN_MILLISECONDS = 3000;
+
+    /** Longest wait for a change in one call; the store answers sooner if there is one. */
+    private static final Duration WATCH_WAIT = HttpRowStore.MAX_WATCH_WAIT;
+
+    /**
+     * The same for the reader, whose silent connection would leave its data centre on old data: the
+     * end of each call shows that the store still answers.
      */
-    private static final long INFORMED_DELAY_MILLISECONDS = 12_000;
+    private static final Duration READER_WATCH_WAIT = Duration.ofSeconds(4);
 
-    private static final long INFORMED_DELAY_JITTER_MILLISECONDS = 4000;
+    /** Age of the last answer up to which the store counts as answering; a wait and some delay. */
+    private static final long MAX_ANSWER_AGE_MILLISECONDS = 5000;
 
     /** Backoff after the first failure; doubles with each further one up to the maximum. */
     private static final long FIRST_BACKOFF_MILLISECONDS = 300;
 
     private static final int MAX_DOUBLINGS = 4;
 
-    /** Longest backoff of a node that must detect by itself that the store answers again. */
-    private static final long MAX_BACKOFF_MILLISECONDS = 1200;
+    /** Longest backoff of the nodes that detect for their data centre that the store is back. */
+    private static final long READER_MAX_BACKOFF_MILLISECONDS = 1200;
+
+    /** Longest backoff of the other nodes, which also hear from a reader that the store is back. */
+    private static final long MAX_BACKOFF_MILLISECONDS = 2400;
 
     /**
      * Backoff of the members table while polls of the configuration table detect that the store
@@ -69,9 +89,12 @@
     /** Nodes of each other data centre that get heartbeats: two, so that one may be lost. */
     private static final int HEARTBEATS_PER_OTHER_DATA_CENTRE = 2;
 
+    /** Ranks that wait for the configuration at the store: the reader and one more. */
+    private static final int CONFIGURATION_READERS = 2;
+
     /**
-     * Time for a node to read a new configuration from the store itself, including its poll delay,
-     * before it asks a peer.
+     * Time for a node to get a new configuration from the store or from the sender of a heartbeat,
+     * before it asks again.
      */
     private static final long CONFIGURATION_GRACE_MILLISECONDS = 900;
 
@@ -82,35 +105,54 @@
     private final ReaderElection election;
     private final FleetDirectory fleet;
     private final ConfigurationHolder configuration;
-    private final BooleanSupplier storeLost;
-    private final BooleanSupplier configurationLost;
-    private final Runnable pollStoreNow;
-    private final Runnable rereadStore;
+    private final StoreWatches watches;
     private final Timers timers;
     private final RandomGenerator random;
     private final EventLog log;
+    private final long startedAt;
+    private final DigestComparison digests = new DigestComparison();
     private boolean informed;
     private boolean reader;
+    private boolean readsConfiguration = true;
+
+    /** The watches of both tables of the store. */
+    interface StoreWatches {
+        /** Whether the store did not answer the last call for either table. */
+        boolean isStoreLost();
+
+        /** Whether the store did not answer the last call for the configuration. */
+        boolean isConfigurationLost();
+
+        /** Whether the store has answered within the given time in milliseconds. */
+        boolean wasAnsweredWithin(long milliseconds);
+
+        /** Ends delays and rests of both watches. */
+        void pollNow();
+
+        /** Reads the members again. */
+        void rereadMembers();
+
+        /**
+         * Reads both tables again if a call that waits for a change has not returned one that a
+         * peer already knows.
+         */
+        void rereadIfWaiting();
+    }
 
     StoreReaderCoordinator(
             NodeId self,
             FleetDirectory fleet,
             ConfigurationHolder configuration,
-            BooleanSupplier storeLost,
-            BooleanSupplier configurationLost,
-            Runnable pollStoreNow,
-            Runnable rereadStore,
+            StoreWatches watches,
             Timers timers,
             RandomGenerator random,
             EventLog log) {
         this.self = self;
-        this.election = new ReaderElection(self, timers.now());
+        this.startedAt = timers.now();
+        this.election = new ReaderElection(self, startedAt);
         this.fleet = fleet;
         this.configuration = configuration;
-        this.storeLost = storeLost;
-        this.configurationLost = configurationLost;
-        this.pollStoreNow = pollStoreNow;
-        this.rereadStore = rereadStore;
+        this.watches = watches;
         this.timers = timers;
         this.random = random;
         this.log = log;
@@ -120,17 +162,43 @@
      * Checks from now on at intervals whether this node is the reader, and sends its heartbeats.
      */
     void start() {
-        boolean isReaderNow = isReader();
-        if (isReaderNow != reader) {
-            reader = isReaderNow;
-            log.event("store-reader").with("reads", isReaderNow).write();
-            sendAllMembers();
-        }
-        if (isReaderNow) {
+        check();
+        timers.repeat(ReaderElection.PERIOD_MILLISECONDS, this::check);
+    }
+
+    private void check() {
+        updateRole();
+        if (reader) {
             sendHeartbeats(fleet::isInRegion);
         }
         updateInformed();
-        timers.schedule(ReaderElection.PERIOD_MILLISECONDS, this::start);
+    }
+
+    private void updateRole() {
+        List<NodeId> dataCentre = fleet.inDataCentre().stream().map(FleetTarget::node).toList();
+        boolean mayRead = fleet.hasSnapshot() && !isJoining();
+        readsConfiguration = mayRead && election.rank(dataCentre) < CONFIGURATION_READERS;
+        boolean wasReader = reader;
+        reader = mayRead && election.isReader(dataCentre, timers.now());
+        if (reader == wasReader) {
+            return;
+        }
+        log.event("store-reader").with("reads", reader).write();
+        if (reader && !isStoreAnswering()) {
+            watches.rereadIfWaiting();
+        }
+        if (reader) {
+            watches.pollNow();
+        }
+        sendAllMembers();
+    }
+
+    private boolean isJoining() {
+        return !fleet.wasKnownBefore() && timers.now() - startedAt < JOIN_MILLISECONDS;
+    }
+
+    private boolean isStoreAnswering() {
+        return !watches.isStoreLost() && watches.wasAnsweredWithin(MAX_ANSWER_AGE_MILLISECONDS);
     }
 
     /** Handles the heartbeat of a reader, which contains its configuration version. */
@@ -144,18 +212,56 @@
             updateInformed();
         }
         if (sign.getConfigurationVersion() > configuration.version()) {
-            timers.schedule(
-                    CONFIGURATION_GRACE_MILLISECONDS, () -> requestConfiguration(sender, sign));
+            if (isResting()) {
+                requestConfiguration(sender);
+            }
+            timers.schedule(CONFIGURATION_GRACE_MILLISECONDS, () -> onGraceEnded(sender, sign));
+        }
+        if (sign.getMembersDigest() != 0 && sign.getStoreAnswers()) {
+            compareMembers(sign.getMembersDigest());
+        }
+    }
+
+    private void onGraceEnded(NodeId sender, ReaderSign sign) {
+        if (sign.getConfigurationVersion() > configuration.version()) {
+            watches.rereadIfWaiting();
+            requestConfiguration(sender);
+        }
+    }
+
+    private void requestConfiguration(NodeId sender) {
+        FleetRequest request =
+                FleetRequest.newBuilder()
+                        .setConfigurationVersion(configuration.version())
+                        .setConfigurationOnly(true)
+                        .build();
+        fleet.find(sender).ifPresent(target -> target.link().send(request));
+    }
+
+    private void compareMembers(long readersDigest) {
+        boolean mustRead = !reader && digests.onDigest(fleet.digest(), readersDigest, timers.now());
+        if (mustRead && informed) {
+            log.event("members-differ").with("members", fleet.all().size()).write();
+            watches.rereadMembers();
         }
     }
 
     /** A newer configuration was put in force at this node. */
     void onConfiguration() {
-        if (isReader()) {
+        if (reader || readsConfiguration) {
             sendHeartbeats(target -> true);
         }
     }
 
+    /** Whether a reader tells this node of changes, so that it need not call the store. */
+    boolean isInformed() {
+        return !reader && informed;
+    }
+
+    private boolean isResting() {
+        return isInformed() && !readsConfiguration && configuration.version() > 0;
+    }
+
     /** Sends all members including this node, because the previous reader may have missed some. */
     private void sendAllMembers() {
         FleetNews.Builder update = FleetNews.newBuilder();
@@ -165,7 +271,7 @@
 
     /** Sends members to the nodes of this data centre, if this node is its reader. */
     void sendToDataCentre(FleetNews update) {
-        if (isReader()) {
+        if (reader) {
             fleet.inDataCentre().forEach(target -> target.link().send(update));
         }
     }
@@ -175,7 +281,17 @@
         return new TableWatch.PollPolicy() {
             @Override
             public long pollDelayMilliseconds() {
-                return CONFIGURATION_DELAY_MILLISECONDS;
+                return isJoining() ? JOIN_MILLISECONDS : CONFIGURATION_DELAY_MILLISECONDS;
+            }
+
+            @Override
+            public Duration watchWait() {
+                return reader ? READER_WATCH_WAIT : WATCH_WAIT;
+            }
+
+            @Override
+            public boolean isResting() {
+                return StoreReaderCoordinator.this.isResting();
             }
 
             @Override
@@ -190,64 +306,51 @@
         return new TableWatch.PollPolicy() {
             @Override
             public long pollDelayMilliseconds() {
-                if (isInformed()) {
-                    return informedDelay();
+                if (isJoining()) {
+                    return JOIN_MILLISECONDS;
                 }
                 return reader ? READER_MEMBER_DELAY_MILLISECONDS : MEMBER_DELAY_MILLISECONDS;
             }
 
+            @Override
+            public Duration watchWait() {
+                return WATCH_WAIT;
+            }
+
+            @Override
+            public boolean isResting() {
+                return isInformed() && fleet.hasSnapshot();
+            }
+
             @Override
             public long backoffMilliseconds(int failures) {
-                boolean configurationAwaited = configurationLost.getAsBoolean();
+                boolean configurationAwaited = watches.isConfigurationLost();
                 return configurationAwaited ? SECOND_TABLE_BACKOFF_MILLISECONDS : backoff(failures);
             }
         };
     }
 
-    private boolean isInformed() {
-        return !reader && election.hasHealthyReader(timers.now());
-    }
-
-    private long informedDelay() {
-        return INFORMED_DELAY_MILLISECONDS + random.nextLong(INFORMED_DELAY_JITTER_MILLISECONDS);
-    }
-
-    private static long backoff(int failures) {
+    private long backoff(int failures) {
         long doubled = FIRST_BACKOFF_MILLISECONDS << Math.min(failures - 1, MAX_DOUBLINGS);
-        return Math.min(doubled, MAX_BACKOFF_MILLISECONDS);
-    }
-
-    private boolean isReader() {
-        if (!fleet.hasSnapshot()) {
-            return false;
-        }
-        List<NodeId> dataCentre = new ArrayList<>();
-        fleet.inDataCentre().forEach(target -> dataCentre.add(target.node()));
-        return election.isReader(dataCentre, timers.now());
+        long maximum =
+                reader || readsConfiguration
+                        ? READER_MAX_BACKOFF_MILLISECONDS
+                        : MAX_BACKOFF_MILLISECONDS;
+        return Math.min(doubled, maximum);
     }
 
     private void updateInformed() {
         boolean wasInformed = informed;
         informed = election.hasHealthyReader(timers.now());
-        if (wasInformed != informed) {
-            log.event("store-informed").with("by_reader", informed).write();
-        }
-        if (wasInformed && !informed) {
-            pollStoreNow.run();
-        } else if (!wasInformed && informed && storeLost.getAsBoolean()) {
-            timers.schedule(random.nextLong(STORE_RETURN_JITTER_MILLISECONDS), pollStoreNow);
+        if (wasInformed == informed) {
+            return;
         }
-    }
-
-    private void requestConfiguration(NodeId sender, ReaderSign sign) {
-        if (sign.getConfigurationVersion() > configuration.version()) {
-            rereadStore.run();
-            FleetRequest request =
-                    FleetRequest.newBuilder()
-                            .setConfigurationVersion(configuration.version())
-                            .setConfigurationOnly(true)
-                            .build();
-            fleet.find(sender).ifPresent(target -> target.link().send(request));
+        log.event("store-informed").with("by_reader", informed).write();
+        boolean started = fleet.hasSnapshot() && configuration.version() > 0;
+        if (!informed) {
+            watches.pollNow();
+        } else if (!started || readsConfiguration) {
+            timers.schedule(random.nextLong(STORE_RETURN_JITTER_MILLISECONDS), watches::pollNow);
         }
     }
 
@@ -260,24 +363,26 @@
                 ReaderSign.newBuilder()
                         .setNodeId(self.value())
                         .setConfigurationVersion(configuration.version())
-                        .setStoreAnswers(!storeLost.getAsBoolean())
+                        .setStoreAnswers(isStoreAnswering())
                         .build();
-        fleet.inDataCentre().forEach(target -> target.link().send(sign));
-        likelyReadersElsewhere().stream()
-                .filter(otherDataCentreFilter)
-                .forEach(target -> target.link().send(sign));
+        ReaderSign signWithDigest =
+                reader ? sign.toBuilder().setMembersDigest(fleet.digest()).build() : sign;
+        fleet.inDataCentre().forEach(target -> target.link().send(signWithDigest));
+        likelyReadersElsewhere(otherDataCentreFilter).forEach(target -> target.link().send(sign));
     }
 
     /**
      * The nodes of each other data centre that are most likely to be its reader: those with the
      * lowest hashes, as in {@link ReaderElection}.
      */
-    private Collection<FleetTarget> likelyReadersElsewhere() {
+    private Collection<FleetTarget> likelyReadersElsewhere(Predicate<FleetTarget> filter) {
         Map<String, List<FleetTarget>> byDataCentre = new HashMap<>();
         for (FleetTarget target : fleet.inOtherDataCentres()) {
-            byDataCentre
-                    .computeIfAbsent(target.member().getDataCentre(), name -> new ArrayList<>())
-                    .add(target);
+            if (filter.test(target)) {
+                byDataCentre
+                        .computeIfAbsent(target.member().getDataCentre(), name -> new ArrayList<>())
+                        .add(target);
+            }
         }
         List<FleetTarget> likelyReaders = new ArrayList<>();
         for (List<FleetTarget> targets : byDataCentre.values()) {
--- a/relay/src/main/java/org/damaskmoor/relay/internal/fleet/FleetDirectory.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/FleetDirectory.java
@@ -44,6 +44,8 @@
     private final Map<ServiceName, List<FleetTarget>> byService = new HashMap<>();
     private final Set<NodeId> storedNodes = new HashSet<>();
     private boolean snapshotReceived;
+    private boolean selfInFirstSnapshot;
+    private long digest;
 
     /** Creates the link to a node. */
     @FunctionalInterface
@@ -92,6 +94,16 @@
         return snapshotReceived;
     }
 
+    /** Whether the store had a record of this node when the members were read first. */
+    public boolean wasKnownBefore() {
+        return selfInFirstSnapshot;
+    }
+
+    /** Digest of all nodes with their addresses and services; equal at nodes that know the same. */
+    public long digest() {
+        return digest;
+    }
+
     /** The nodes of this node's data centre, including itself. */
     public List<FleetTarget> inDataCentre() {
         return targets.values().stream().filter(this::isInDataCentre).toList();
@@ -113,7 +125,10 @@
 
     @Override
     public void onSnapshot(List<StoredRow> rows) {
-        snapshotReceived = true;
+        if (!snapshotReceived) {
+            snapshotReceived = true;
+            selfInFirstSnapshot = rows.stream().anyMatch(row -> row.key().equals(self.value()));
+        }
         Set<NodeId> previous = Set.copyOf(storedNodes);
         storedNodes.clear();
         rows.forEach(this::onChange);
@@ -136,7 +151,7 @@
             if (member.getNodeId().equals(node.value())) {
                 apply(member);
             }
-        } catch (InvalidProtocolBufferException invalid) {
+        } catch (InvalidProtocolBufferException | IllegalArgumentException invalid) {
             log.event("row-unreadable")
                     .with("key", row.key())
                     .with("cause", invalid.getMessage())
@@ -152,11 +167,22 @@
             }
             FleetTarget known = targets.get(new NodeId(member.getNodeId()));
             if (known == null || isNewer(member, known.member())) {
-                apply(member);
+                applyReceived(member);
             }
         }
     }
 
+    private void applyReceived(FleetMember member) {
+        try {
+            apply(member);
+        } catch (IllegalArgumentException invalid) {
+            log.event("member-unusable")
+                    .with("node", member.getNodeId())
+                    .with("cause", invalid.getMessage())
+                    .write();
+        }
+    }
+
     /**
      * Handles the hello of the node at an address. If its id differs, the expected node is removed.
      *
@@ -211,6 +237,7 @@
 
     private void put(FleetTarget target) {
         targets.put(target.node(), target);
+        digest += target.digest();
         byService
                 .computeIfAbsent(
                         new ServiceName(target.member().getService()), service -> new ArrayList<>())
@@ -224,6 +251,7 @@
         }
         FleetTarget removed = targets.remove(node);
         if (removed != null) {
+            digest -= removed.digest();
             byService.get(new ServiceName(removed.member().getService())).remove(removed);
             removed.link().close();
             log.event("member-removed").with("node", node).with("members", targets.size()).write();
--- a/relay/src/main/java/org/damaskmoor/relay/internal/fleet/FleetTarget.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/FleetTarget.java
@@ -1,5 +1,6 @@
 package org.damaskmoor.relay.internal.fleet;
 
+import org.damaskmoor.core.hash.StableHash;
 import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.core.placement.LoadSnapshot;
 import org.damaskmoor.core.placement.TargetEstimate;
@@ -15,12 +16,15 @@
     private final NodeId node;
     private final TargetEstimate estimate;
     private final CallLink link;
+    private final long digest;
     private FleetMember member;
     private UpstreamState state = UpstreamState.SERVING;
 
     FleetTarget(NodeId node, FleetMember member, TargetEstimate estimate, CallLink link) {
         this.node = node;
         this.member = member;
+        this.digest =
+                StableHash.of(node.value() + ' ' + member.getAddress() + ' ' + member.getService());
         this.estimate = estimate;
         this.link = link;
     }
@@ -30,6 +34,11 @@
         return node;
     }
 
+    /** Digest of what does not change while the node keeps its address and service. */
+    long digest() {
+        return digest;
+    }
+
     /** The load and speed that are expected of it. */
     public TargetEstimate estimate() {
         return estimate;
--- a/relay/src/main/java/org/damaskmoor/relay/internal/fleet/TableWatch.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/TableWatch.java
@@ -1,5 +1,6 @@
 package org.damaskmoor.relay.internal.fleet;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -13,7 +14,8 @@
 import org.damaskmoor.relay.internal.time.Timers;
 
 /**
- * Follows one table of the store: reads it once, then waits for changes.
+ * Follows one table of the store: reads it once, then waits for changes. It rests while the poll
+ * policy says that changes are learned from elsewhere.
  *
  * <p>Confined to the event loop. Invariants: changes are reported in the order of the store; after
  * the store has dropped its history, or was lost, the whole table is read again, so that it is
@@ -26,6 +28,9 @@
      */
     private static final long MAX_FIRST_DELAY_MILLISECONDS = 3000;
 
+    /** Interval at which a resting watch checks whether it must call the store again. */
+    private static final long REST_MILLISECONDS = 60_000;
+
     private final String table;
     private final RowStore store;
     private final Timers timers;
@@ -37,6 +42,7 @@
     private int failures;
     private long currentCall;
     private Optional<Delay> pendingDelay = Optional.empty();
+    private long answeredAt;
     private boolean storeLost;
     private boolean stopped;
 
@@ -61,6 +67,12 @@
         /** Delay between a change and the next call; changes meanwhile cost one call together. */
         long pollDelayMilliseconds();
 
+        /** Longest time for which one call may wait for a change. */
+        Duration watchWait();
+
+        /** Whether changes are learned from elsewhere, so that the store need not be called. */
+        boolean isResting();
+
         /** Backoff after the given number of consecutive failures. */
         long backoffMilliseconds(int failures);
     }
@@ -99,7 +111,7 @@
         stopped = true;
     }
 
-    /** Ends the current delay or backoff, if any, and calls the store now. */
+    /** Ends the current delay, rest or backoff, if any, and calls the store now. */
     public void pollNow() {
         Optional<Delay> ended = pendingDelay;
         pendingDelay = Optional.empty();
@@ -129,6 +141,11 @@
         return storeLost;
     }
 
+    /** Whether the store has answered a call within the given time in milliseconds. */
+    public boolean wasAnsweredWithin(long milliseconds) {
+        return timers.now() - answeredAt <= milliseconds;
+    }
+
     private void read(String fromKey, List<StoredRow> rowsSoFar) {
         currentCall++;
         long call = currentCall;
@@ -153,13 +170,22 @@
             read(rows.get(rows.size() - 1).key() + '\0', rows);
             return;
         }
-        listener.onSnapshot(rows);
+        reportSnapshot(rows);
         long delay = Math.min(pollPolicy.pollDelayMilliseconds(), MAX_FIRST_DELAY_MILLISECONDS);
         delay(delay, () -> watch(page.version()));
     }
 
     private void delay(long milliseconds, Runnable next) {
-        pendingDelay = Optional.of(new Delay(timers.schedule(milliseconds, this::pollNow), next));
+        pendingDelay =
+                Optional.of(new Delay(timers.schedule(milliseconds, () -> afterDelay(next)), next));
+    }
+
+    private void afterDelay(Runnable next) {
+        if (pollPolicy.isResting()) {
+            delay(REST_MILLISECONDS, next);
+        } else {
+            pollNow();
+        }
     }
 
     private void watch(long version) {
@@ -168,7 +194,7 @@
         }
         currentCall++;
         long call = currentCall;
-        store.watch(table, version)
+        store.watch(table, version, pollPolicy.watchWait())
                 .whenComplete(
                         (page, failure) -> {
                             if (isStale(call)) {
@@ -178,7 +204,7 @@
                                 onFailure(failure, this::start);
                             } else {
                                 onStoreAnswered();
-                                page.rows().forEach(listener::onChange);
+                                page.rows().forEach(this::report);
                                 long next = Math.max(version, page.version());
                                 onWatched(page, next);
                             }
@@ -209,8 +235,30 @@
         delay(backoff / 2 + random.nextLong(backoff), next);
     }
 
+    /** Reports a change; one that can't be processed must not end the watch. */
+    private void report(StoredRow row) {
+        try {
+            listener.onChange(row);
+        } catch (RuntimeException failure) {
+            log.event("row-failed")
+                    .with("table", table)
+                    .with("key", row.key())
+                    .with("cause", failure)
+                    .write();
+        }
+    }
+
+    private void reportSnapshot(List<StoredRow> rows) {
+        try {
+            listener.onSnapshot(rows);
+        } catch (RuntimeException failure) {
+            log.event("snapshot-failed").with("table", table).with("cause", failure).write();
+        }
+    }
+
     private void onStoreAnswered() {
         failures = 0;
+        answeredAt = timers.now();
         if (storeLost) {
             storeLost = false;
             log.event("store-regained").with("table", table).write();
