Log and contain unexpected errors of timers and connections

Cause: a task of the event loop that threw ended silently, and a task that schedules itself again (heartbeats, requests to peers, expiry of the ledger, time-outs of callers) ended for good. Handlers closed a connection without a line in the log.

Change: GuardedTimers logs a failed task and goes on; Timers.repeat schedules the next run before the task. ConnectionFailureLog tells why a connection was closed. A seal with a final state no longer leaves its sequence awaited, so that the link is not pinged on. A quarantined request is not sent to one more target (the bound was compared with <=).

ReaderElection, whose time-out bears one late heartbeat; heartbeats travel over TCP and are not lost alone.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/PeerSync.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/PeerSync.java
@@ -58,6 +58,7 @@
             seeds.add(links.apply(new InetSocketAddress(host, linkPort)));
         }
         requestUpdates();
+        timers.repeat(REQUEST_INTERVAL_MILLISECONDS, this::requestUpdates);
     }
 
     private void requestUpdates() {
@@ -71,7 +72,6 @@
                 links.remove(random.nextInt(links.size())).send(request);
             }
         }
-        timers.schedule(REQUEST_INTERVAL_MILLISECONDS, this::requestUpdates);
     }
 
     private List<CallLink> candidateLinks() {
--- a/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
@@ -36,9 +36,11 @@
 import org.damaskmoor.relay.internal.link.EntryId;
 import org.damaskmoor.relay.internal.link.LinkDialer;
 import org.damaskmoor.relay.internal.link.LinkServer;
+import org.damaskmoor.relay.internal.log.ConnectionFailureLog;
 import org.damaskmoor.relay.internal.log.EventLog;
 import org.damaskmoor.relay.internal.metrics.RelayMetrics;
 import org.damaskmoor.relay.internal.target.TargetCallHandler;
+import org.damaskmoor.relay.internal.time.GuardedTimers;
 import org.damaskmoor.relay.internal.time.Timers;
 import org.damaskmoor.schema.gossip.QuarantineRecord;
 import org.damaskmoor.schema.link.FleetNews;
@@ -91,18 +93,20 @@
     /** Creates a relay that is not started. */
     public RelayNode(RelaySettings settings, EventLoop loop, Timers timers, EventLog log) {
         this.settings = settings;
-        this.timers = timers;
+        this.timers = new GuardedTimers(timers, log);
         this.log = log;
         this.self = settings.node();
-        this.quarantine = new NodeQuarantine(self, incarnation, timers);
+        this.quarantine = new NodeQuarantine(self, incarnation, this.timers);
         this.recordFactory = new OwnRecordFactory(settings, incarnation);
         this.target = createTarget(loop);
-        this.dialer = new LinkDialer(loop, timers, self, incarnation, this::configurationVersion);
+        this.dialer =
+                new LinkDialer(
+                        loop, this.timers, self, incarnation, this::configurationVersion, log);
         this.fleet = createFleetDirectory();
         this.entry = createEntry();
         this.configuration = new ConfigurationHolder(log, this::onConfiguration);
         RowStore store = new HttpRowStore(loop, settings.store());
-        this.ownRecord = new OwnRecordPublisher(self, store, timers, random, log);
+        this.ownRecord = new OwnRecordPublisher(self, store, this.timers, random, log);
         this.reader =
                 new StoreReaderCoordinator(
                         self,
@@ -110,7 +114,7 @@
                         configuration,
                         new NodeStoreWatches(
                                 this::configurationWatch, this::memberWatch, this::isStoreLost),
-                        timers,
+                        this.timers,
                         random,
                         log);
         MemberTableListener members = new MemberTableListener(self, fleet, ownRecord, reader);
@@ -124,9 +128,10 @@
                         reader.configurationPolicy(),
                         this::onStoreRegained);
         this.peerSync =
-                new PeerSync(fleet, configuration, quarantine, this::isUninformed, timers, random);
+                new PeerSync(
+                        fleet, configuration, quarantine, this::isUninformed, this.timers, random);
         this.ports = createPorts(loop);
-        this.stop = new GracefulStop(timers, settings.stopMilliseconds());
+        this.stop = new GracefulStop(this.timers, settings.stopMilliseconds());
         metrics.gauge("open-requests", entry::openRequests);
         metrics.gauge("members", () -> fleet.all().size());
         metrics.gauge("configuration-version", this::configurationVersion);
@@ -210,19 +215,34 @@
                         timers,
                         this::callerLimits,
                         entry,
-                        status -> metrics.count("malformed", Integer.toString(status)));
+                        status -> metrics.count("malformed", Integer.toString(status)),
+                        new ConnectionFailureLog(log, "callers"));
         return new NodePorts(
                 new ControlHttpServer(
-                        loop, settings.announcements(), new AnnouncementEndpoint(target, log)),
-                new LinkServer(loop, settings.links(), linkHandler),
+                        loop,
+                        settings.announcements(),
+                        new AnnouncementEndpoint(target, log),
+                        new ConnectionFailureLog(log, "announcements")),
+                new LinkServer(
+                        loop,
+                        settings.links(),
+                        linkHandler,
+                        new ConnectionFailureLog(log, "incoming-link")),
                 new ControlHttpServer(
-                        loop, settings.readiness(), (method, path, body) -> readiness(path)),
+                        loop,
+                        settings.readiness(),
+                        (method, path, body) -> readiness(path),
+                        new ConnectionFailureLog(log, "readiness")),
                 callers,
                 settings.metrics().map(address -> createMetricsServer(loop, address)));
     }
 
     private ControlHttpServer createMetricsServer(EventLoop loop, InetSocketAddress address) {
-        return new ControlHttpServer(loop, address, (method, path, body) -> metrics(path));
+        return new ControlHttpServer(
+                loop,
+                address,
+                (method, path, body) -> metrics(path),
+                new ConnectionFailureLog(log, "metrics"));
     }
 
     /** Opens all ports, then starts to read the store; completes when the ports are open. */
@@ -245,7 +265,7 @@
                 settings.seeds(),
                 settings.links().getPort(),
                 address -> dialer.seedLink(address, new SeedLinkListener(this::merge)));
-        timers.schedule(LEDGER_EXPIRY_INTERVAL_MILLISECONDS, this::expireLedger);
+        timers.repeat(LEDGER_EXPIRY_INTERVAL_MILLISECONDS, target::expireLedger);
         log.event("node-started")
                 .with("node", self)
                 .with("incarnation", incarnation)
@@ -254,11 +274,6 @@
                 .write();
     }
 
-    private void expireLedger() {
-        target.expireLedger();
-        timers.schedule(LEDGER_EXPIRY_INTERVAL_MILLISECONDS, this::expireLedger);
-    }
-
     /** Stops gracefully: refuses new requests, finishes open ones and closes all ports. */
     public CompletableFuture<Void> stop() {
         log.event("node-stopping").with("node", self).with("open", entry.openRequests()).write();
--- a/relay/src/main/java/org/damaskmoor/relay/internal/SettingsFileWatcher.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/SettingsFileWatcher.java
@@ -39,7 +39,7 @@
     public void start() {
         HangUpSignal.handle(this::reload);
         changedAt = lastChange();
-        timers.schedule(CHECK_INTERVAL_MILLISECONDS, this::check);
+        timers.repeat(CHECK_INTERVAL_MILLISECONDS, this::check);
     }
 
     /** Reads the file again. */
@@ -53,7 +53,6 @@
             changedAt = modifiedAt;
             read();
         }
-        timers.schedule(CHECK_INTERVAL_MILLISECONDS, this::check);
     }
 
     private FileTime lastChange() {
--- a/relay/src/main/java/org/damaskmoor/relay/internal/caller/CallerConnection.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/caller/CallerConnection.java
@@ -260,6 +260,6 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext failed, Throwable cause) {
-        failed.close();
+        server.failureLog().close(failed, cause);
     }
 }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/caller/CallerServer.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/caller/CallerServer.java
@@ -16,6 +16,7 @@
 import java.util.function.IntConsumer;
 import java.util.function.Supplier;
 import org.damaskmoor.core.routetable.CallerLimits;
+import org.damaskmoor.relay.internal.log.ConnectionFailureLog;
 import org.damaskmoor.relay.internal.net.PortBinder;
 import org.damaskmoor.relay.internal.time.Timers;
 
@@ -32,6 +33,7 @@
     private final Supplier<CallerLimits> limits;
     private final CallerHandler handler;
     private final IntConsumer onMalformed;
+    private final ConnectionFailureLog failureLog;
     private final Set<CallerConnection> connections = new HashSet<>();
     private Channel serverChannel;
     private boolean closing;
@@ -47,18 +49,20 @@
             Timers timers,
             Supplier<CallerLimits> limits,
             CallerHandler handler,
-            IntConsumer onMalformed) {
+            IntConsumer onMalformed,
+            ConnectionFailureLog failureLog) {
         this.loop = loop;
         this.address = address;
         this.timers = timers;
         this.limits = limits;
         this.handler = handler;
         this.onMalformed = onMalformed;
+        this.failureLog = failureLog;
     }
 
     /** Opens the port. */
     public CompletableFuture<Void> start() {
-        timers.schedule(TIMEOUT_CHECK_INTERVAL_MILLISECONDS, this::checkTimeouts);
+        timers.repeat(TIMEOUT_CHECK_INTERVAL_MILLISECONDS, this::checkTimeouts);
         ServerBootstrap bootstrap =
                 new ServerBootstrap()
                         .group(loop)
@@ -109,7 +113,6 @@
         for (CallerConnection connection : List.copyOf(connections)) {
             connection.checkTimeouts(now, inForce);
         }
-        timers.schedule(TIMEOUT_CHECK_INTERVAL_MILLISECONDS, this::checkTimeouts);
     }
 
     void opened(CallerConnection connection) {
@@ -124,6 +127,10 @@
         return handler;
     }
 
+    ConnectionFailureLog failureLog() {
+        return failureLog;
+    }
+
     CallerLimits limits() {
         return limits.get();
     }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/control/ControlHttpServer.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/control/ControlHttpServer.java
@@ -22,6 +22,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
+import org.damaskmoor.relay.internal.log.ConnectionFailureLog;
 import org.damaskmoor.relay.internal.net.PortBinder;
 
 /**
@@ -36,6 +37,7 @@
     private final EventLoop loop;
     private final InetSocketAddress address;
     private final RequestHandler handler;
+    private final ConnectionFailureLog failureLog;
     private Channel serverChannel;
 
     /** Handles a request. */
@@ -69,10 +71,15 @@
         }
     }
 
-    public ControlHttpServer(EventLoop loop, InetSocketAddress address, RequestHandler handler) {
+    public ControlHttpServer(
+            EventLoop loop,
+            InetSocketAddress address,
+            RequestHandler handler,
+            ConnectionFailureLog failureLog) {
         this.loop = loop;
         this.address = address;
         this.handler = handler;
+        this.failureLog = failureLog;
     }
 
     /** Opens the port. */
@@ -129,7 +136,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            context.close();
+            failureLog.close(context, cause);
         }
     }
 }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
@@ -191,7 +191,7 @@
                 unreachedAttempts++;
                 attempt.target.markNotAccepting();
             }
-            case QUARANTINED -> unreachedAttempts = MAX_UNREACHED;
+            case QUARANTINED -> unreachedAttempts = MAX_UNREACHED + 1;
             default -> unreachedAttempts++;
         }
         RefusalReason reason =
--- a/relay/src/main/java/org/damaskmoor/relay/internal/link/IncomingLink.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/IncomingLink.java
@@ -4,6 +4,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import org.damaskmoor.core.id.Incarnation;
 import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.relay.internal.log.ConnectionFailureLog;
 import org.damaskmoor.schema.link.CallSealed;
 import org.damaskmoor.schema.link.ForwardedAnswer;
 import org.damaskmoor.schema.link.ForwardedFailure;
@@ -23,15 +24,17 @@
         implements CallOutcomeListener {
     private final LinkServer server;
     private final IncomingLinkHandler handler;
+    private final ConnectionFailureLog failureLog;
     private ChannelHandlerContext context;
     private EntryId entry;
     private long linkNumber;
     private boolean fenced;
     private boolean acceptsCalls;
 
-    IncomingLink(LinkServer server, IncomingLinkHandler handler) {
+    IncomingLink(LinkServer server, IncomingLinkHandler handler, ConnectionFailureLog failureLog) {
         this.server = server;
         this.handler = handler;
+        this.failureLog = failureLog;
     }
 
     EntryId entry() {
@@ -131,7 +134,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext failed, Throwable cause) {
-        failed.close();
+        failureLog.close(failed, cause);
     }
 
     @Override
--- a/relay/src/main/java/org/damaskmoor/relay/internal/link/LinkDialer.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/LinkDialer.java
@@ -9,6 +9,8 @@
 import org.damaskmoor.core.id.Incarnation;
 import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.platform.protocol.TcpKeepAlive;
+import org.damaskmoor.relay.internal.log.ConnectionFailureLog;
+import org.damaskmoor.relay.internal.log.EventLog;
 import org.damaskmoor.relay.internal.time.Timers;
 
 /** Creates links to other nodes. Confined to the event loop. */
@@ -19,14 +21,17 @@
     private final Bootstrap bootstrap;
     private final HelloFrameFactory helloFrames;
     private final Timers timers;
+    private final ConnectionFailureLog failureLog;
 
     public LinkDialer(
             EventLoop loop,
             Timers timers,
             NodeId self,
             Incarnation incarnation,
-            LongSupplier configurationVersion) {
+            LongSupplier configurationVersion,
+            EventLog log) {
         this.timers = timers;
+        this.failureLog = new ConnectionFailureLog(log, "outgoing-link");
         this.helloFrames = new HelloFrameFactory(self, incarnation, configurationVersion);
         this.bootstrap =
                 new Bootstrap()
@@ -40,7 +45,13 @@
     /** Creates a link that is opened when it is first needed. */
     public CallLink link(NodeId peer, InetSocketAddress address, LinkListener listener) {
         return new OutgoingLink(
-                peer, address, bootstrap, () -> helloFrames.create(peer.value()), timers, listener);
+                peer,
+                address,
+                bootstrap,
+                () -> helloFrames.create(peer.value()),
+                timers,
+                listener,
+                failureLog);
     }
 
     /**
@@ -50,6 +61,12 @@
     public CallLink seedLink(InetSocketAddress address, LinkListener listener) {
         NodeId placeholder = new NodeId("at-" + address.getHostString());
         return new OutgoingLink(
-                placeholder, address, bootstrap, () -> helloFrames.create(""), timers, listener);
+                placeholder,
+                address,
+                bootstrap,
+                () -> helloFrames.create(""),
+                timers,
+                listener,
+                failureLog);
     }
 }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/link/LinkServer.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/LinkServer.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.relay.internal.log.ConnectionFailureLog;
 import org.damaskmoor.relay.internal.net.PortBinder;
 import org.damaskmoor.schema.link.TargetLoad;
 
@@ -25,13 +26,19 @@
     private final EventLoop loop;
     private final InetSocketAddress address;
     private final IncomingLinkHandler handler;
+    private final ConnectionFailureLog failureLog;
     private final Map<NodeId, IncomingLink> links = new HashMap<>();
     private Channel serverChannel;
 
-    public LinkServer(EventLoop loop, InetSocketAddress address, IncomingLinkHandler handler) {
+    public LinkServer(
+            EventLoop loop,
+            InetSocketAddress address,
+            IncomingLinkHandler handler,
+            ConnectionFailureLog failureLog) {
         this.loop = loop;
         this.address = address;
         this.handler = handler;
+        this.failureLog = failureLog;
     }
 
     /** Opens the port. */
@@ -49,7 +56,8 @@
                                     protected void initChannel(Channel channel) {
                                         FrameCodec.add(
                                                 channel,
-                                                new IncomingLink(LinkServer.this, handler));
+                                                new IncomingLink(
+                                                        LinkServer.this, handler, failureLog));
                                     }
                                 });
         return PortBinder.bind(bootstrap, address, channel -> serverChannel = channel);
--- a/relay/src/main/java/org/damaskmoor/relay/internal/link/OutgoingLink.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/OutgoingLink.java
@@ -13,9 +13,11 @@
 import java.util.Set;
 import java.util.function.Supplier;
 import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.relay.internal.log.ConnectionFailureLog;
 import org.damaskmoor.relay.internal.time.Timers;
 import org.damaskmoor.schema.link.CallCancel;
 import org.damaskmoor.schema.link.CallSeal;
+import org.damaskmoor.schema.link.CallSealed;
 import org.damaskmoor.schema.link.FleetNews;
 import org.damaskmoor.schema.link.FleetRequest;
 import org.damaskmoor.schema.link.ForwardedCall;
@@ -23,6 +25,7 @@
 import org.damaskmoor.schema.link.LinkHello;
 import org.damaskmoor.schema.link.LinkPing;
 import org.damaskmoor.schema.link.ReaderSign;
+import org.damaskmoor.schema.mesh.SealState;
 
 /**
  * The entry's end of a link over TCP: one connection at a time, opened again after it was lost.
@@ -61,6 +64,7 @@
     private final Supplier<LinkFrame> helloFrames;
     private final Timers timers;
     private final LinkListener listener;
+    private final ConnectionFailureLog failureLog;
     private final List<LinkFrame> queuedFrames = new ArrayList<>();
     private final Set<Long> awaitedSequences = new HashSet<>();
     private Channel channel;
@@ -80,13 +84,15 @@
             Bootstrap bootstrap,
             Supplier<LinkFrame> helloFrames,
             Timers timers,
-            LinkListener listener) {
+            LinkListener listener,
+            ConnectionFailureLog failureLog) {
         this.peer = peer;
         this.address = address;
         this.bootstrap = bootstrap;
         this.helloFrames = helloFrames;
         this.timers = timers;
         this.listener = listener;
+        this.failureLog = failureLog;
     }
 
     @Override
@@ -298,7 +304,7 @@
                 awaitedSequences.remove(frame.getFailure().getSequence());
                 listener.outcomeListener(peer).onFailed(frame.getFailure());
             }
-            case SEALED -> listener.outcomeListener(peer).onSealed(frame.getSealed());
+            case SEALED -> onSealed(frame.getSealed());
             case LOAD -> listener.outcomeListener(peer).onLoad(frame.getLoad());
             case FLEET_NEWS -> listener.onFleetNews(frame.getFleetNews());
             default -> {
@@ -308,6 +314,17 @@
         }
     }
 
+    /** No outcome follows unless the call was handed over or its answer is still stored. */
+    private void onSealed(CallSealed sealed) {
+        boolean isFinal =
+                sealed.getState() == SealState.SEALED
+                        || sealed.getState() == SealState.OTHER_INCARNATION;
+        if (isFinal) {
+            awaitedSequences.remove(sealed.getSequence());
+        }
+        listener.outcomeListener(peer).onSealed(sealed);
+    }
+
     private void onHello(LinkHello hello) {
         if (helloReceived) {
             return;
@@ -334,7 +351,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            context.close();
+            failureLog.close(context, cause);
         }
     }
 }
--- /dev/null
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/log/ConnectionFailureLog.java
@@ -0,0 +1,35 @@
+package org.damaskmoor.relay.internal.log;
+
+import io.netty.channel.ChannelHandlerContext;
+import java.io.IOException;
+
+/**
+ * Logs why a connection was closed after an exception. Confined to the event loop.
+ *
+ * <p>An exception in a handler concerns only its connection; the process goes on.
+ */
+public final class ConnectionFailureLog {
+    private final EventLog log;
+    private final String step;
+
+    /**
+     * Creates a log for connections of one kind.
+     *
+     * @param step what the connections are for
+     */
+    public ConnectionFailureLog(EventLog log, String step) {
+        this.log = log;
+        this.step = step;
+    }
+
+    /** Logs the cause and closes the connection. */
+    public void close(ChannelHandlerContext context, Throwable cause) {
+        String event = cause instanceof IOException ? "connection-lost" : "connection-failed";
+        log.event(event)
+                .with("step", step)
+                .with("peer", context.channel().remoteAddress())
+                .with("cause", cause)
+                .write();
+        context.close();
+    }
+}
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/TokenBucket.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/TokenBucket.java
@@ -1,6 +1,11 @@
 package org.damaskmoor.relay.internal.target;
 
-/** A token bucket that holds at most one second's worth of tokens. Not thread-safe. */
+/**
+ * A token bucket that holds at most one second's worth of tokens. Bounds the mean rate; a single
+ * second in which a full bucket is used up may see up to 1.6 times the configured rate.
+ *
+ * <p>Not thread-safe.
+ */
 final class TokenBucket {
     private static final double MILLISECONDS_PER_SECOND = 1000;
 
