Let calls of upstreams wait longer, and send back early what can't be served

A waiting call whose upstream became slow was held until its deadline was all but over.

Ruled out: their priority, which is already the highest; the queue under pressure, from which short calls are exempt.

Change: a call that goes before a fifth or more of the other calls may wait for half of its time as its last choice. A call that misses its objective is sent back as soon as the calls before it take too long.

--- a/core/src/main/java/org/damaskmoor/core/queueing/AdmissionQueue.java
+++ b/core/src/main/java/org/damaskmoor/core/queueing/AdmissionQueue.java
@@ -25,6 +25,11 @@
  * Next come the calls that can still meet their objective, the earliest objective first. When the
  * queue is full, a call displaces one of lower priority.
  *
+ * <p>Calls of which many less urgent ones compete for the slots wait longer as their last choice:
+ * typically an upstream sent them while it runs a request of its own, and their refusal loses the
+ * work that was done for that request. A queued call that can no longer be answered in time,
+ * because the upstream became slower, is sent back before its deadline.
+ *
  * <p>Invariants: no more calls run than the limit, except after the limit was lowered; each call
  * leaves the queue exactly once. Times are in milliseconds of one monotonic clock. Not thread-safe.
  */
@@ -44,6 +49,12 @@
      */
     private static final double LATE_WAIT_FRACTION = 0.15;
 
+    /** The same for a call that goes before a considerable part of the other calls. */
+    private static final double URGENT_LATE_WAIT_FRACTION = 0.5;
+
+    /** Share of less urgent calls from which a call counts as urgent. */
+    private static final double MIN_LESS_URGENT_SHARE = 0.2;
+
     /** From this queue length per slot on, calls that will miss their objective are sent back. */
     private static final double PRESSURE_WAITING_PER_SLOT = 0.5;
 
@@ -119,11 +130,7 @@
         wait = wait / (1 - higherPriority);
         boolean meetsObjective = now + wait + service <= call.objectiveAt();
         boolean mayWait =
-                meetsObjective
-                        || (call.lastChoice()
-                                && (!isUnderPressure() || rank(call, now) == SHORT)
-                                && wait <= LATE_WAIT_FRACTION * (call.deadlineAt() - now)
-                                && now + wait + service <= call.deadlineAt());
+                meetsObjective || (call.lastChoice() && mayWaitLate(call, wait, service, now));
         if (!mayWait || !tryMakeSpace(call)) {
             return QueueDecision.sendBack(retryAfter(wait));
         }
@@ -131,6 +138,16 @@
         return QueueDecision.WAIT;
     }
 
+    /** Whether a call may wait for its last choice although it will miss its objective. */
+    private boolean mayWaitLate(QueuedCall<T> call, double wait, double service, long now) {
+        boolean urgent = lessUrgentShare(call.priority()) >= MIN_LESS_URGENT_SHARE;
+        boolean goesSoon = urgent || !isUnderPressure() || rank(call, now) == SHORT;
+        double fraction = urgent ? URGENT_LATE_WAIT_FRACTION : LATE_WAIT_FRACTION;
+        return goesSoon
+                && wait <= fraction * (call.deadlineAt() - now)
+                && now + wait + service <= call.deadlineAt();
+    }
+
     /** Removes and returns the next call to start, or null when none may start now. */
     public T poll(long now) {
         if (running >= limit || waiting.isEmpty()) {
@@ -154,9 +171,7 @@
         Iterator<QueuedCall<T>> calls = waiting.iterator();
         while (calls.hasNext()) {
             QueuedCall<T> call = calls.next();
-            double service = call.serviceMilliseconds();
-            boolean tooLate = now + MIN_TIME_FRACTION * service >= call.deadlineAt();
-            if (tooLate) {
+            if (isTooLate(call, now)) {
                 calls.remove();
                 expired = expired.isEmpty() ? new ArrayList<>() : expired;
                 expired.add(call.handle());
@@ -165,6 +180,17 @@
         return expired;
     }
 
+    /**
+     * Whether a waiting call can't be answered before its deadline: even if it starts now, or, once
+     * it has missed its objective, when the calls before it have started.
+     */
+    private boolean isTooLate(QueuedCall<T> call, long now) {
+        double end = now + MIN_TIME_FRACTION * call.serviceMilliseconds();
+        boolean missesObjective = now + call.serviceMilliseconds() > call.objectiveAt();
+        double wait = missesObjective && running >= limit ? expectedWait(call, now) : 0;
+        return end + wait >= call.deadlineAt();
+    }
+
     /** Returns the calls displaced by calls of higher priority since the last invocation. */
     public List<T> drainDisplaced() {
         if (displaced.isEmpty()) {
@@ -207,7 +233,8 @@
     private double expectedWait(QueuedCall<T> arriving, long now) {
         int ahead = 1 + running - limit;
         for (QueuedCall<T> call : waiting) {
-            if (!goesBefore(arriving, call, now)) {
+            boolean isOther = !call.handle().equals(arriving.handle());
+            if (isOther && !goesBefore(arriving, call, now)) {
                 ahead++;
             }
         }
@@ -225,6 +252,15 @@
         return share;
     }
 
+    /** Fraction of recent calls with a lower priority. */
+    private double lessUrgentShare(int priority) {
+        double share = 0;
+        for (double other : shareByPriority.tailMap(priority, false).values()) {
+            share += other;
+        }
+        return share;
+    }
+
     private void recordPriority(int priority) {
         shareByPriority.replaceAll((otherPriority, share) -> share * (1 - PRIORITY_SAMPLE_WEIGHT));
         shareByPriority.merge(priority, PRIORITY_SAMPLE_WEIGHT, Double::sum);
--- a/core/src/test/java/org/damaskmoor/core/queueing/AdmissionQueueTest.java
+++ b/core/src/test/java/org/damaskmoor/core/queueing/AdmissionQueueTest.java
@@ -2,6 +2,9 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import java.util.Random;
 import org.damaskmoor.core.queueing.QueueDecision.Kind;
 import org.junit.jupiter.api.Test;
 
@@ -200,6 +203,97 @@
         assertThat(queue.poll(10)).isNull();
     }
 
+    @Test
+    void should_send_back_a_call_before_its_deadline_when_the_upstream_became_slow() {
+        // given
+        queue.setLimit(20);
+        for (int i = 0; i < 20; i++) {
+            offer("running" + i, 1, 5000);
+        }
+        for (int i = 0; i < 3; i++) {
+            Kind kind = offerAt("waiting" + i, 1, 500 + i, 3000, 100, 0);
+            assertThat(kind).isEqualTo(Kind.WAIT);
+        }
+
+        // when
+        for (int i = 0; i < 15; i++) {
+            queue.onAnswered(1500);
+        }
+        queue.setLimit(1);
+
+        // then
+        assertThat(queue.removeExpired(900)).isNotEmpty();
+    }
+
+    /**
+     * Replays a service whose slots are all taken by long calls, while calls of other upstreams
+     * arrive that are short and of higher priority.
+     */
+    @Test
+    void should_serve_short_urgent_calls_when_long_calls_take_all_slots() {
+        // given
+        queue.setLimit(6);
+        Random random = new Random(7);
+        PriorityQueue<Running> running = new PriorityQueue<>(Comparator.comparing(Running::endsAt));
+        int urgentOffered = 0;
+        int urgentSentBack = 0;
+
+        // when
+        for (long now = 0; now < 60_000; now += 5) {
+            while (!running.isEmpty() && running.peek().endsAt() <= now) {
+                Running ended = running.poll();
+                queue.onAnswered((double) (ended.endsAt() - ended.startedAt()));
+            }
+            queue.removeExpired(now);
+            if (random.nextInt(100) < 6) {
+                start(offerAt("long", 2, now + 2000, now + 6000, 700, now), "long", now, running);
+            }
+            if (random.nextInt(100) < 4) {
+                urgentOffered++;
+                Kind kind = offerAt("urgent", 0, now + 150, now + 600, 55, now);
+                urgentSentBack += kind == Kind.SEND_BACK ? 1 : 0;
+                start(kind, "urgent", now, running);
+            }
+            for (String next = queue.poll(now); next != null; next = queue.poll(now)) {
+                start(Kind.START, next, now, running);
+            }
+        }
+
+        // then
+        assertThat(urgentOffered).isGreaterThan(300);
+        assertThat((double) urgentSentBack / urgentOffered).isLessThan(0.1);
+    }
+
+    private record Running(long startedAt, long endsAt) {}
+
+    private static void start(Kind kind, String name, long now, PriorityQueue<Running> running) {
+        if (kind == Kind.START) {
+            running.add(new Running(now, now + (name.equals("long") ? 700 : 55)));
+        }
+    }
+
+    private Kind offerAt(
+            String name,
+            int priority,
+            long objectiveAt,
+            long deadlineAt,
+            double service,
+            long now) {
+        return queue.offer(
+                        new QueuedCall<>(
+                                name,
+                                priority,
+                                objectiveAt,
+                                deadlineAt,
+                                service,
+                                AMPLE_MILLISECONDS,
+                                true),
+                        0,
+                        true,
+                        now)
+                .kind();
+    }
+
     private Kind offer(String name, int priority, long objectiveAt) {
         return queue.offer(
                         new QueuedCall<>(
