Spend retries on urgent calls first, and tell shedding from overload

Each shed call withheld a slot of its target, down to half. The retry budget went to whoever came first; a call of an upstream that got none failed the request that had made it. A shed call did not count as a failure of its target. A call displaced from a queue was reported as shed by the upstream, which cost it budget though nothing had reached the upstream.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
@@ -184,6 +184,7 @@
         switch (received.getReason()) {
             case QUEUE_FULL -> fullRefusals++;
             case OVERLOADED -> {
+                attempt.target.estimate().onOutcome(true, now());
                 upstreamAttempts++;
                 needsRetryBudget = true;
             }
@@ -312,7 +313,8 @@
             return fullRefusals <= MAX_FULL_REFUSALS && unreachedAttempts <= MAX_UNREACHED;
         }
         needsRetryBudget = false;
-        return hasAttemptsLeft() && budget.tryAcquire(context.fleet().all().size(), now());
+        return hasAttemptsLeft()
+                && budget.tryAcquire(route.priority(), context.fleet().all().size(), now());
     }
 
     private boolean hasAttemptsLeft() {
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/CallRunner.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/CallRunner.java
@@ -142,8 +142,10 @@
         ledger.returned(call.id);
         switch (notRun.cause()) {
             case SHED -> {
-                upstreamLimit.onShed(now);
-                queue.setLimit(concurrencyLimit());
+                if (wasFull(notRun)) {
+                    upstreamLimit.onShed(now);
+                    queue.setLimit(concurrencyLimit());
+                }
                 openCalls.refuse(call, RefusalReason.OVERLOADED, queue.retryAfterMilliseconds());
             }
             case OTHER_UPSTREAM -> {
@@ -157,6 +159,13 @@
         }
     }
 
+    /** An upstream that sheds calls although slots are free would shed fewer calls as well. */
+    private static boolean wasFull(UpstreamOutcome.NotRun notRun) {
+        return notRun.load()
+                .map(load -> load.waiting() > 0 || load.running() >= load.slots())
+                .orElse(true);
+    }
+
     private void onFailed(TargetCall call, String detail) {
         queue.onAbandoned();
         ledger.failed(call.id);
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetCallHandler.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetCallHandler.java
@@ -220,7 +220,7 @@
                         displaced ->
                                 openCalls.refuse(
                                         displaced,
-                                        RefusalReason.OVERLOADED,
+                                        RefusalReason.QUEUE_FULL,
                                         queue.retryAfterMilliseconds()));
         switch (decision.kind()) {
             case START -> runner.handOver(call);
