Place no calls on a target whose link is failing while others are reachable

Cause: a call to a target that went dark opened a connection and waited for it, 800 ms, again and again as the link's backoff allowed.

Change: CallLink.isFailing; a target whose last connection was lost or failed is a candidate only if no other is left, and its link is opened meanwhile.

Measured: RelayFailureTest.should_not_hold_requests_for_a_node_that_does_not_answer.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/LocalLink.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/LocalLink.java
@@ -35,6 +35,11 @@
         return true;
     }
 
+    @Override
+    public boolean isFailing() {
+        return false;
+    }
+
     @Override
     public long targetIncarnation() {
         return self.incarnation().value();
--- a/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
@@ -321,16 +321,23 @@
         return upstreamAttempts < route.maximumAttempts();
     }
 
+    /**
+     * The targets that may get the call. Those whose link failed are included only if there are no
+     * others, because the call could wait for a connection until it is too late; their links are
+     * opened again meanwhile.
+     */
     private List<FleetTarget> candidates() {
         long now = now();
-        List<FleetTarget> candidates = new ArrayList<>();
+        List<FleetTarget> reachable = new ArrayList<>();
+        List<FleetTarget> failing = new ArrayList<>();
         for (FleetTarget target : context.fleet().targets(service)) {
             boolean eligible = target.isAcceptingCalls() && !triedNodes.contains(target.node());
             if (eligible && !target.estimate().isAvoided(now)) {
-                candidates.add(target);
+                (target.link().isFailing() ? failing : reachable).add(target);
             }
         }
-        return candidates;
+        failing.forEach(target -> target.link().open());
+        return reachable.isEmpty() ? failing : reachable;
     }
 
     private CallProfile callProfile() {
--- a/relay/src/main/java/org/damaskmoor/relay/internal/link/CallLink.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/CallLink.java
@@ -12,6 +12,9 @@
     /** Whether calls can be sent without waiting for a connection. */
     boolean isUp();
 
+    /** Whether the last connection was lost or could not be opened, and no other is up yet. */
+    boolean isFailing();
+
     /** The incarnation of the target; 0 while it is unknown. */
     long targetIncarnation();
 
--- a/relay/src/main/java/org/damaskmoor/relay/internal/link/OutgoingLink.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/OutgoingLink.java
@@ -71,6 +71,7 @@
     private boolean connecting;
     private boolean helloReceived;
     private boolean closed;
+    private boolean failing;
     private boolean checkScheduled;
     private long targetIncarnation;
     private long lastReceivedAt;
@@ -100,6 +101,11 @@
         return channel != null && helloReceived;
     }
 
+    @Override
+    public boolean isFailing() {
+        return failing && !isUp();
+    }
+
     @Override
     public long targetIncarnation() {
         return targetIncarnation;
@@ -163,6 +169,7 @@
     }
 
     private void scheduleRetry() {
+        failing = true;
         retryAt = timers.now() + backoff;
         backoff = Math.min(2 * backoff, MAX_BACKOFF_MILLISECONDS);
     }
@@ -331,6 +338,7 @@
         }
         helloReceived = true;
         FrameCodec.acceptLargeFrames(channel);
+        failing = false;
         backoff = MIN_BACKOFF_MILLISECONDS;
         targetIncarnation = hello.getIncarnation();
         listener.onHello(peer, hello);
--- a/relay/src/test/java/org/damaskmoor/relay/RelayFailureTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/RelayFailureTest.java
@@ -2,7 +2,9 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.damaskmoor.platform.standin.ConfigurationJson;
@@ -11,6 +13,7 @@
 import org.damaskmoor.platform.standin.UpstreamStandIn;
 import org.damaskmoor.relay.fixture.InProcessRelay;
 import org.damaskmoor.relay.fixture.TestFleet;
+import org.damaskmoor.schema.link.FleetMember;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -308,6 +311,41 @@
         }
     }
 
+    @Test
+    void should_not_hold_requests_for_a_node_that_does_not_answer() throws Exception {
+        // given
+        try (ServerSocket silent = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            FleetMember member =
+                    FleetMember.newBuilder()
+                            .setNodeId("silent")
+                            .setService("books")
+                            .setAddress("127.0.0.1:" + silent.getLocalPort())
+                            .setDataCentre("home-1")
+                            .setRegion("home")
+                            .setSlots(9)
+                            .build();
+            fleet.store.putRow("members", "silent", member.toByteArray());
+            TestFleet.await(() -> entry.log().contains("event=member-added node=silent"));
+            int requests = 60;
+            int held = 0;
+
+            // when
+            for (int i = 0; i < requests; i++) {
+                long started = System.nanoTime();
+                try (RawCaller caller = entry.caller()) {
+                    RawCaller.Answer answer = caller.exchange(RawCaller.get("/read/1", "r" + i));
+                    assertThat(answer.status()).isEqualTo(200);
+                }
+                boolean slow = System.nanoTime() - started > 500_000_000L;
+                held += slow ? 1 : 0;
+                Thread.sleep(50);
+            }
+
+            // then
+            assertThat(held).isAtMost(1);
+        }
+    }
+
     @Test
     void should_remove_its_record_when_its_upstream_has_deregistered() throws Exception {
         // given
