--- a/relay/src/main/java/org/damaskmoor/relay/CdsTrainingRun.java
+++ b/relay/src/main/java/org/damaskmoor/relay/CdsTrainingRun.java
@@ -9,53 +9,124 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.ExecutionException;
-import org.damaskmoor.core.id.DataCentreName;
-import org.damaskmoor.core.id.NodeId;
-import org.damaskmoor.core.id.RegionName;
-import org.damaskmoor.core.id.ServiceName;
-import org.damaskmoor.platform.protocol.ConfigurationDecoder;
-import org.damaskmoor.platform.protocol.EndpointPaths;
+import org.damaskmoor.core.settings.SettingsException;
+import org.damaskmoor.platform.protocol.SampleMessages;
 import org.damaskmoor.relay.internal.RelayNode;
+import org.damaskmoor.relay.internal.SettingsFileWatcher;
 import org.damaskmoor.relay.internal.log.RateLimitedEventLog;
 import org.damaskmoor.relay.internal.time.EventLoopTimers;
+import org.damaskmoor.schema.link.FleetMember;
 
 /**
- * Starts a relay on loopback ports and sends it a few requests, so that the JVM can archive the
- * classes that a start loads. With the archive, a relay serves about a second sooner.
+ * Starts a relay on loopback ports, beside sample peers, and sends it a few requests, so that the
+ * JVM can archive the classes that a start and the first requests load. With the archive, a relay
+ * serves about a second sooner.
  *
  * <p>Used by the build. Confined to one thread.
  */
 final class CdsTrainingRun {
     private static final int SOCKET_TIMEOUT_MILLISECONDS = 2000;
-    private static final int STORE_ATTEMPTS_MILLISECONDS = 500;
+
+    /** Time for the relay to read the sample store and to write to it. */
+    private static final int STORE_MILLISECONDS = 800;
+
+    private static final int REQUESTS = 3;
+    private static final String SERVICE = "sample";
+    private static final String UPSTREAM = "sample-upstream";
 
     private CdsTrainingRun() {}
 
-    static void run() throws IOException, InterruptedException, ExecutionException {
+    static void run()
+            throws IOException, InterruptedException, ExecutionException, CompletionException {
+        SamplePeer store = SamplePeer.start(CdsTrainingRun::storeAnswer);
+        SamplePeer upstream = SamplePeer.start(CdsTrainingRun::upstreamAnswer);
+        Path file = Files.createTempFile("training", ".properties");
+        Files.writeString(file, settings(store.address(), upstream.address()));
+        RelaySettings settings = read(file);
         EventLoop loop = new NioEventLoopGroup(1).next();
         EventLoopTimers timers = new EventLoopTimers(loop);
         RateLimitedEventLog log = new RateLimitedEventLog(timers, System.out);
-        RelaySettings settings = settings();
         RelayNode node = new RelayNode(settings, loop, timers, log);
+        SettingsFileWatcher watcher = new SettingsFileWatcher(file, settings, timers, log);
         loop.submit(node::start).get().join();
-        request(
-                settings.readiness(),
-                "GET " + EndpointPaths.READY + " HTTP/1.1\r\nHost: a\r\n\r\n");
-        request(settings.callers(), "GET /a/ HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\n\r\n");
-        request(settings.announcements(), "GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
-        loadDecoders();
-        Thread.sleep(STORE_ATTEMPTS_MILLISECONDS);
+        loop.execute(watcher::start);
+        Thread.sleep(STORE_MILLISECONDS);
+        request(settings.readiness(), SampleMessages.readinessCheck());
+        request(settings.announcements(), SampleMessages.announcement(UPSTREAM, SERVICE));
+        for (int i = 0; i < REQUESTS; i++) {
+            request(settings.callers(), SampleMessages.request("r" + i));
+        }
+        Thread.sleep(STORE_MILLISECONDS);
         log.close();
+        Files.delete(file);
+    }
+
+    private static RelaySettings read(Path file) throws IOException {
+        try {
+            return RelaySettingsReader.read(file);
+        } catch (SettingsException invalid) {
+            throw new IOException("The settings of the training run are invalid.", invalid);
+        }
+    }
+
+    private static String storeAnswer(String request) {
+        FleetMember member =
+                FleetMember.newBuilder()
+                        .setNodeId("peer")
+                        .setService(SERVICE)
+                        .setAddress("127.0.0.1:9")
+                        .build();
+        String page =
+                SampleMessages.storePage(
+                        SampleMessages.configuration(SERVICE), "peer", member.toByteString());
+        return "HTTP/1.1 200 OK\r\nContent-Length: "
+                + page.getBytes(StandardCharsets.UTF_8).length
+                + "\r\n\r\n"
+                + page;
     }
 
-    private static void loadDecoders() {
-        ConfigurationDecoder.decode(
-                "{\"version\":\"1\",\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"prefix\":\"/\","
-                        + "\"kind\":\"idempotent\",\"timeout\":\"1s\",\"service\":\"s\"}],"
-                        + "\"services\":[{\"name\":\"s\"}],\"limits\":{}}");
+    private static String upstreamAnswer(String request) {
+        int id = request.indexOf("r", request.indexOf(": r") + 1);
+        return SampleMessages.upstreamAnswer(UPSTREAM, request.substring(id, id + 2));
+    }
+
+    private static String settings(InetSocketAddress store, InetSocketAddress upstream)
+            throws IOException {
+        List<String> lines = new ArrayList<>();
+        for (String name :
+                List.of(
+                        "caller-address",
+                        "link-address",
+                        "readiness-address",
+                        "announcement-address",
+                        "metrics-address")) {
+            lines.add(name + "=" + text(freeAddress()));
+        }
+        lines.add("store-address=" + text(store));
+        lines.add("upstream-address=" + text(upstream));
+        lines.addAll(
+                List.of(
+                        "node-id=sample",
+                        "region=sample",
+                        "data-centre=sample",
+                        "service=" + SERVICE,
+                        "drain=1s",
+                        "stop-timeout=1s",
+                        "retry-ratio=0.2",
+                        "retry-slack=64",
+                        "retry-window=10s",
+                        "health-checks-per-second=60"));
+        return String.join("\n", lines);
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
 
     private static void request(InetSocketAddress address, String request) throws IOException {
@@ -69,31 +140,6 @@
         }
     }
 
-    private static RelaySettings settings() throws IOException {
-        InetSocketAddress links = freeAddress();
-        return new RelaySettings(
-                new NodeId("rehearsal"),
-                new RegionName("here"),
-                new DataCentreName("here"),
-                new ServiceName("rehearsal"),
-                freeAddress(),
-                links,
-                links,
-                freeAddress(),
-                freeAddress(),
-                freeAddress(),
-                freeAddress(),
-                Optional.of(freeAddress()),
-                List.of(),
-                1000,
-                1000,
-                0,
-                0,
-                1000,
-                1,
-                RelaySettings.DEFAULT_MAX_ANSWER_BYTES);
-    }
-
     private static InetSocketAddress freeAddress() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
