Remember across a restart which upstream incarnation has left

Cause: a node keeps in memory which incarnation of its upstream announced that it leaves. A node that is restarted (kill, planned stop) forgets it, and a late announcement of that incarnation looks like that of a new upstream: calls reached it again after its drain time.

Change: a node writes a record of each departure into the table of the members, which every node reads when it starts, and takes no calls until that table was read, at most 2 s. A planned stop waits for the record within its time.

--- a/core/src/main/java/org/damaskmoor/core/upstream/UpstreamTracker.java
+++ b/core/src/main/java/org/damaskmoor/core/upstream/UpstreamTracker.java
@@ -7,6 +7,8 @@
 /**
  * Tracks the upstream on this VM: its current incarnation, whether it is leaving, and whether it is
  * reachable. Tolerates announcements that are late, duplicated, or from an earlier incarnation.
+ * After a restart of this node it can wait for what the node knew before, because a late
+ * announcement of an upstream that has left looks like that of a new one.
  *
  * <p>Invariants: an older announcement never replaces a newer one; an incarnation that has
  * announced that it leaves never accepts new calls again. Times are in milliseconds of one
@@ -23,11 +25,20 @@
     private static final long DRAIN_MARGIN_MILLISECONDS = 400;
 
     private final long drainMilliseconds;
-    private final ArrayDeque<UpstreamAnnouncement> departed = new ArrayDeque<>();
+    private final ArrayDeque<Departed> departed = new ArrayDeque<>();
     private UpstreamAnnouncement current;
     private boolean leaving;
     private long leavingSince;
     private boolean down;
+    private boolean awaitingHistory;
+
+    /** An incarnation that has announced that it leaves. */
+    private record Departed(UpstreamId id, long startEpochMilliseconds) {
+        boolean isSameIncarnation(UpstreamAnnouncement announcement) {
+            return id.equals(announcement.id())
+                    && startEpochMilliseconds == announcement.startEpochMilliseconds();
+        }
+    }
 
     /**
      * Creates a tracker without an upstream.
@@ -49,6 +60,35 @@
         LEAVING
     }
 
+    /** Accepts no calls until {@link #onHistoryKnown}. */
+    public void awaitHistory() {
+        awaitingHistory = true;
+    }
+
+    /** Called when it is known what departed before this node was restarted, or can't be known. */
+    public void onHistoryKnown() {
+        awaitingHistory = false;
+    }
+
+    /** Whether what departed before this node was restarted is not known yet. */
+    public boolean isAwaitingHistory() {
+        return awaitingHistory;
+    }
+
+    /**
+     * Restores the knowledge that an incarnation has left, from before this node was restarted.
+     *
+     * @param startedAt start time of the incarnation, in milliseconds since the epoch
+     */
+    public void restoreDeparture(UpstreamId id, long startedAt, long now) {
+        Departed restored = new Departed(id, startedAt);
+        addDeparted(restored);
+        if (current != null && restored.isSameIncarnation(current) && !leaving) {
+            leaving = true;
+            leavingSince = now - drainMilliseconds;
+        }
+    }
+
     /** Processes an announcement of the upstream. */
     public Change onAnnouncement(UpstreamAnnouncement announcement, long now) {
         if (hasLeft(announcement) || (current != null && !announcement.isNewerThan(current))) {
@@ -87,15 +127,19 @@
     private Change startLeaving(long now) {
         leaving = true;
         leavingSince = now;
-        departed.addLast(current);
+        addDeparted(new Departed(current.id(), current.startEpochMilliseconds()));
+        return Change.LEAVING;
+    }
+
+    private void addDeparted(Departed incarnation) {
+        departed.addLast(incarnation);
         if (departed.size() > REMEMBERED_INCARNATIONS) {
             departed.removeFirst();
         }
-        return Change.LEAVING;
     }
 
     private boolean hasLeft(UpstreamAnnouncement announcement) {
-        return departed.stream().anyMatch(announcement::isSameIncarnation)
+        return departed.stream().anyMatch(former -> former.isSameIncarnation(announcement))
                 && (current == null || !announcement.isSameIncarnation(current));
     }
 
@@ -126,7 +170,7 @@
 
     /** Whether new calls are accepted for the upstream. */
     public boolean acceptsCalls() {
-        return current != null && !leaving && !down;
+        return current != null && !leaving && !down && !awaitingHistory;
     }
 
     /** Whether a call that was accepted earlier may still be dispatched to the upstream. */
--- a/core/src/test/java/org/damaskmoor/core/upstream/UpstreamTrackerTest.java
+++ b/core/src/test/java/org/damaskmoor/core/upstream/UpstreamTrackerTest.java
@@ -23,6 +23,49 @@
         assertThat(tracker.acceptsCalls()).isTrue();
     }
 
+    @Test
+    void should_ignore_a_late_announcement_of_an_incarnation_that_left_before_the_restart() {
+        // given
+        tracker.restoreDeparture(new UpstreamId("i-1"), 100, 0);
+
+        // when
+        Change late = tracker.onAnnouncement(announcement("i-1", 100, 9, false), 10);
+
+        // then
+        assertThat(late).isEqualTo(Change.NONE);
+        assertThat(tracker.acceptsCalls()).isFalse();
+    }
+
+    @Test
+    void should_accept_no_calls_when_the_announced_incarnation_turns_out_to_have_left() {
+        // given
+        tracker.awaitHistory();
+        tracker.onAnnouncement(announcement("i-1", 100, 9, false), 10);
+        assertThat(tracker.acceptsCalls()).isFalse();
+
+        // when
+        tracker.restoreDeparture(new UpstreamId("i-1"), 100, 20);
+        tracker.onHistoryKnown();
+
+        // then
+        assertThat(tracker.acceptsCalls()).isFalse();
+        assertThat(tracker.mayDispatch(20)).isFalse();
+    }
+
+    @Test
+    void should_accept_calls_when_a_later_incarnation_announces_itself_after_the_restart() {
+        // given
+        tracker.awaitHistory();
+        tracker.restoreDeparture(new UpstreamId("i-1"), 100, 0);
+        tracker.onAnnouncement(announcement("i-1", 200, 1, false), 10);
+
+        // when
+        tracker.onHistoryKnown();
+
+        // then
+        assertThat(tracker.acceptsCalls()).isTrue();
+    }
+
     @Test
     void should_ignore_a_late_announcement_of_an_earlier_incarnation() {
         // given
--- a/relay/src/main/java/org/damaskmoor/relay/internal/MemberTableListener.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/MemberTableListener.java
@@ -2,8 +2,10 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.platform.protocol.StoredRow;
+import org.damaskmoor.relay.internal.fleet.DepartureRecords;
 import org.damaskmoor.relay.internal.fleet.FleetDirectory;
 import org.damaskmoor.relay.internal.fleet.FleetTarget;
 import org.damaskmoor.relay.internal.fleet.OwnRecordPublisher;
@@ -22,21 +24,35 @@
     private final FleetDirectory fleet;
     private final OwnRecordPublisher ownRecordPublisher;
     private final StoreReaderCoordinator storeReader;
+    private final DepartureRecords departures;
+    private final Consumer<Optional<FleetMember>> onOwnDeparture;
 
+    /**
+     * Creates a listener.
+     *
+     * @param onOwnDeparture receives the last departure of this node's upstream, if there is a
+     *     record of one, whenever the whole table was read
+     */
     MemberTableListener(
             NodeId self,
             FleetDirectory fleet,
             OwnRecordPublisher ownRecordPublisher,
-            StoreReaderCoordinator storeReader) {
+            StoreReaderCoordinator storeReader,
+            DepartureRecords departures,
+            Consumer<Optional<FleetMember>> onOwnDeparture) {
         this.self = self;
         this.fleet = fleet;
         this.ownRecordPublisher = ownRecordPublisher;
         this.storeReader = storeReader;
+        this.departures = departures;
+        this.onOwnDeparture = onOwnDeparture;
     }
 
     @Override
     public void onSnapshot(List<StoredRow> rows) {
         fleet.onSnapshot(rows);
+        onOwnDeparture.accept(departures.own(rows));
+        rows.forEach(departures::onRow);
         Optional<StoredRow> ownRow =
                 rows.stream().filter(row -> row.key().equals(self.value())).findFirst();
         ownRow.ifPresentOrElse(ownRecordPublisher::onRow, ownRecordPublisher::onRowAbsent);
@@ -45,10 +61,11 @@
     @Override
     public void onChange(StoredRow row) {
         fleet.onChange(row);
+        departures.onRow(row);
         if (row.key().equals(self.value())) {
             ownRecordPublisher.onRow(row);
         }
-        if (!row.key().isEmpty()) {
+        if (!row.key().isEmpty() && !DepartureRecords.isDeparture(row)) {
             changedMember(row)
                     .map(member -> FleetNews.newBuilder().addMembers(member).build())
                     .ifPresent(storeReader::sendToDataCentre);
--- a/relay/src/main/java/org/damaskmoor/relay/internal/OwnRecordFactory.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/OwnRecordFactory.java
@@ -1,6 +1,7 @@
 package org.damaskmoor.relay.internal;
 
 import org.damaskmoor.core.id.Incarnation;
+import org.damaskmoor.core.upstream.UpstreamAnnouncement;
 import org.damaskmoor.relay.RelaySettings;
 import org.damaskmoor.relay.internal.net.Addresses;
 import org.damaskmoor.schema.link.FleetMember;
@@ -16,6 +17,17 @@
         this.incarnation = incarnation;
     }
 
+    /** The record that an incarnation of the upstream has left. */
+    FleetMember createDeparture(UpstreamAnnouncement upstream) {
+        return FleetMember.newBuilder()
+                .setNodeId(settings.node().value())
+                .setDataCentre(settings.dataCentre().value())
+                .setUpstreamId(upstream.id().value())
+                .setUpstreamStartEpochMilliseconds(upstream.startEpochMilliseconds())
+                .setDeparted(true)
+                .build();
+    }
+
     FleetMember create(String service, int slots) {
         revision++;
         return FleetMember.newBuilder()
--- a/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
@@ -16,6 +17,7 @@
 import org.damaskmoor.core.routetable.RouteTable;
 import org.damaskmoor.core.routetable.ServiceDefinition;
 import org.damaskmoor.core.upstream.UpstreamAnnouncement;
+import org.damaskmoor.core.upstream.UpstreamId;
 import org.damaskmoor.core.upstream.UpstreamTracker;
 import org.damaskmoor.platform.protocol.ConfigurationDecoder;
 import org.damaskmoor.platform.protocol.EndpointPaths;
@@ -30,6 +32,7 @@
 import org.damaskmoor.relay.internal.entry.EntryRequestHandler;
 import org.damaskmoor.relay.internal.entry.RetryBudgets;
 import org.damaskmoor.relay.internal.fleet.ConfigurationHolder;
+import org.damaskmoor.relay.internal.fleet.DepartureRecords;
 import org.damaskmoor.relay.internal.fleet.FleetDirectory;
 import org.damaskmoor.relay.internal.fleet.OwnRecordPublisher;
 import org.damaskmoor.relay.internal.fleet.TableWatch;
@@ -43,6 +46,7 @@
 import org.damaskmoor.relay.internal.time.GuardedTimers;
 import org.damaskmoor.relay.internal.time.Timers;
 import org.damaskmoor.schema.gossip.QuarantineRecord;
+import org.damaskmoor.schema.link.FleetMember;
 import org.damaskmoor.schema.link.FleetNews;
 import org.damaskmoor.schema.link.LinkHello;
 import org.damaskmoor.schema.link.TargetLoad;
@@ -65,6 +69,12 @@
     private static final int LEDGER_FENCES = 1024;
     private static final long LEDGER_EXPIRY_INTERVAL_MILLISECONDS = 1000;
 
+    /**
+     * Time for the store to tell which incarnation of the upstream left before this node started;
+     * after it, the node serves without knowing.
+     */
+    private static final long HISTORY_TIMEOUT_MILLISECONDS = 2000;
+
     /** Time to write the last replies before connections are closed. */
     private static final long FLUSH_MILLISECONDS = 50;
 
@@ -81,6 +91,7 @@
     private final EntryRequestHandler entry;
     private final ConfigurationHolder configuration;
     private final OwnRecordPublisher ownRecord;
+    private final DepartureRecords departures;
     private final TableWatch memberWatch;
     private final TableWatch configurationWatch;
     private final StoreReaderCoordinator reader;
@@ -99,6 +110,7 @@
         this.quarantine = new NodeQuarantine(self, incarnation, this.timers);
         this.recordFactory = new OwnRecordFactory(settings, incarnation);
         this.target = createTarget(loop);
+        target.upstreamTracker().awaitHistory();
         this.dialer =
                 new LinkDialer(
                         loop, this.timers, self, incarnation, this::configurationVersion, log);
@@ -117,7 +129,12 @@
                         this.timers,
                         random,
                         log);
-        MemberTableListener members = new MemberTableListener(self, fleet, ownRecord, reader);
+        this.departures =
+                new DepartureRecords(
+                        self, settings.dataCentre(), store, reader::isReader, this.timers, log);
+        MemberTableListener members =
+                new MemberTableListener(
+                        self, fleet, ownRecord, reader, departures, this::onOwnDeparture);
         this.memberWatch =
                 tableWatch(FleetDirectory.TABLE, store, members, reader.memberPolicy(), () -> {});
         this.configurationWatch =
@@ -266,6 +283,7 @@
                 settings.links().getPort(),
                 address -> dialer.seedLink(address, new SeedLinkListener(this::merge)));
         timers.repeat(LEDGER_EXPIRY_INTERVAL_MILLISECONDS, target::expireLedger);
+        timers.schedule(HISTORY_TIMEOUT_MILLISECONDS, target::onHistoryKnown);
         log.event("node-started")
                 .with("node", self)
                 .with("incarnation", incarnation)
@@ -284,7 +302,11 @@
                 upstreamLeaving ? ownRecord.remove() : CompletableFuture.completedFuture(null);
         return stop.run(
                         entry::rejectNewRequests,
-                        () -> recordRemoved.isDone() && ports.callers().isIdle() && target.isIdle())
+                        () ->
+                                recordRemoved.isDone()
+                                        && departures.isWritten()
+                                        && ports.callers().isIdle()
+                                        && target.isIdle())
                 .thenRun(entry::finishAll)
                 .thenCompose(done -> flushReplies())
                 .thenRun(this::close);
@@ -331,9 +353,23 @@
     private void publishRecord(UpstreamAnnouncement upstream) {
         if (!target.upstreamTracker().isLeaving()) {
             ownRecord.publish(recordFactory.create(upstream.service().value(), upstream.slots()));
+        } else {
+            departures.write(recordFactory.createDeparture(upstream));
         }
     }
 
+    /** Until this is called, an announcement may be a late one of an upstream that has left. */
+    private void onOwnDeparture(Optional<FleetMember> departure) {
+        departure.ifPresent(
+                record ->
+                        target.upstreamTracker()
+                                .restoreDeparture(
+                                        new UpstreamId(record.getUpstreamId()),
+                                        record.getUpstreamStartEpochMilliseconds(),
+                                        timers.now()));
+        target.onHistoryKnown();
+    }
+
     private LinkHello createHello() {
         LinkHello.Builder hello =
                 LinkHello.newBuilder()
--- a/relay/src/main/java/org/damaskmoor/relay/internal/StoreReaderCoordinator.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/StoreReaderCoordinator.java
@@ -253,6 +253,11 @@
         }
     }
 
+    /** Whether this node is the reader of its data centre. */
+    boolean isReader() {
+        return reader;
+    }
+
     /** Whether a reader tells this node of changes, so that it need not call the store. */
     boolean isInformed() {
         return !reader && informed;
--- a/relay/src/main/java/org/damaskmoor/relay/internal/fleet/FleetDirectory.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/FleetDirectory.java
@@ -137,7 +137,7 @@
 
     @Override
     public void onChange(StoredRow row) {
-        if (row.key().isEmpty()) {
+        if (row.key().isEmpty() || DepartureRecords.isDeparture(row)) {
             return;
         }
         NodeId node = new NodeId(row.key());
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetCallHandler.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetCallHandler.java
@@ -143,6 +143,16 @@
         }
     }
 
+    /**
+     * It is known now, or can't be known, which incarnation left before this node was restarted.
+     */
+    public void onHistoryKnown() {
+        if (tracker.isAwaitingHistory()) {
+            tracker.onHistoryKnown();
+            callbacks.onUpstreamChanged();
+        }
+    }
+
     /** Refuses new calls from now on. */
     public void stopAccepting() {
         loadReporter.markStopping();
@@ -236,7 +246,7 @@
 
     /** The reason to refuse the call whatever the load is, or null. */
     private RefusalReason refusalReason(TargetCall call) {
-        if (tracker.current().isEmpty()) {
+        if (tracker.current().isEmpty() || tracker.isAwaitingHistory()) {
             return RefusalReason.NO_UPSTREAM;
         }
         if (!tracker.current().get().service().value().equals(call.message.getService())) {
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetLoadReporter.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetLoadReporter.java
@@ -45,7 +45,7 @@
     }
 
     private UpstreamState state() {
-        if (tracker.current().isEmpty() || tracker.isDown()) {
+        if (tracker.current().isEmpty() || tracker.isAwaitingHistory() || tracker.isDown()) {
             return UpstreamState.ABSENT;
         }
         return stopping || tracker.isLeaving() ? UpstreamState.LEAVING : UpstreamState.SERVING;
--- a/relay/src/test/java/org/damaskmoor/relay/RelayFailureTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/RelayFailureTest.java
@@ -346,6 +346,37 @@
         }
     }
 
+    @Test
+    void should_not_use_an_upstream_that_left_before_the_restart_of_its_node() throws Exception {
+        // given
+        TestFleet.await(() -> fleet.store.containsRow("members", "target"));
+        assertThat(target.post("/v1/Instances.Deregister/i-1", "{\"born\":100}")).isEqualTo(200);
+        TestFleet.await(() -> target.log().contains("event=departure-written"));
+        target.kill();
+
+        // when
+        try (InProcessRelay restarted =
+                new InProcessRelay("target", "books", upstream.address(), fleet.store.address())) {
+            TestFleet.await(restarted::isReady);
+            assertThat(restarted.announce("i-1", 100, 9, "ready")).isEqualTo(200);
+            Thread.sleep(300);
+
+            // then
+            try (RawCaller caller = restarted.caller()) {
+                assertThat(caller.exchange(RawCaller.get("/read/1", "r1")).status()).isEqualTo(503);
+            }
+            assertThat(upstream.runCount("r1")).isEqualTo(0);
+
+            // when
+            restarted.announce("i-2", 200, 1, "ready");
+
+            // then
+            try (RawCaller caller = restarted.caller()) {
+                assertThat(caller.exchange(RawCaller.get("/read/1", "r2")).status()).isEqualTo(200);
+            }
+        }
+    }
+
     @Test
     void should_remove_its_record_when_its_upstream_has_deregistered() throws Exception {
         // given
