--- a/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
@@ -3,7 +3,6 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
@@ -16,18 +15,16 @@
 import org.damaskmoor.core.routetable.CallerLimits;
 import org.damaskmoor.core.routetable.RouteTable;
 import org.damaskmoor.core.routetable.ServiceDefinition;
-import org.damaskmoor.core.upstream.UpstreamAnnouncement;
-import org.damaskmoor.core.upstream.UpstreamId;
 import org.damaskmoor.core.upstream.UpstreamTracker;
 import org.damaskmoor.platform.protocol.ConfigurationDecoder;
-import org.damaskmoor.platform.protocol.EndpointPaths;
 import org.damaskmoor.platform.protocol.HttpRowStore;
 import org.damaskmoor.platform.protocol.RowStore;
 import org.damaskmoor.relay.RelaySettings;
 import org.damaskmoor.relay.internal.caller.CallerServer;
 import org.damaskmoor.relay.internal.control.AnnouncementEndpoint;
 import org.damaskmoor.relay.internal.control.ControlHttpServer;
-import org.damaskmoor.relay.internal.control.ControlHttpServer.Answer;
+import org.damaskmoor.relay.internal.control.MetricsEndpoint;
+import org.damaskmoor.relay.internal.control.ReadinessEndpoint;
 import org.damaskmoor.relay.internal.entry.EntryContext;
 import org.damaskmoor.relay.internal.entry.EntryRequestHandler;
 import org.damaskmoor.relay.internal.entry.RetryBudgets;
@@ -46,10 +43,8 @@
 import org.damaskmoor.relay.internal.time.GuardedTimers;
 import org.damaskmoor.relay.internal.time.Timers;
 import org.damaskmoor.schema.gossip.QuarantineRecord;
-import org.damaskmoor.schema.link.FleetMember;
 import org.damaskmoor.schema.link.FleetNews;
 import org.damaskmoor.schema.link.LinkHello;
-import org.damaskmoor.schema.link.TargetLoad;
 
 /**
  * A relay: the process beside the upstream of a VM, on one event loop.
@@ -58,9 +53,6 @@
  * finishes the requests that it has started before it stops, as far as the stop timeout allows.
  */
 public final class RelayNode {
-    private static final int OK = 200;
-    private static final int UNAVAILABLE = 503;
-    private static final String METRICS_PATH = "/metrics";
 
     /** Maximum number of calls that the ledger remembers; each takes some hundred bytes. */
     private static final int LEDGER_ENTRIES = 20_000;
@@ -92,13 +84,13 @@
     private final ConfigurationHolder configuration;
     private final OwnRecordPublisher ownRecord;
     private final DepartureRecords departures;
+    private final UpstreamPublisher upstreamPublisher;
     private final TableWatch memberWatch;
     private final TableWatch configurationWatch;
     private final StoreReaderCoordinator reader;
     private final PeerSync peerSync;
     private final LinkDialer dialer;
     private final NodePorts ports;
-    private final OwnRecordFactory recordFactory;
     private final GracefulStop stop;
 
     /** Creates a relay that is not started. */
@@ -108,7 +100,6 @@
         this.log = log;
         this.self = settings.node();
         this.quarantine = new NodeQuarantine(self, incarnation, this.timers);
-        this.recordFactory = new OwnRecordFactory(settings, incarnation);
         this.target = createTarget(loop);
         target.upstreamTracker().awaitHistory();
         this.dialer =
@@ -132,9 +123,24 @@
         this.departures =
                 new DepartureRecords(
                         self, settings.dataCentre(), store, reader::isReader, this.timers, log);
+        this.upstreamPublisher =
+                new UpstreamPublisher(
+                        self,
+                        target,
+                        load -> ports().links().broadcast(load),
+                        fleet,
+                        ownRecord,
+                        departures,
+                        new OwnRecordFactory(settings, incarnation),
+                        this.timers);
         MemberTableListener members =
                 new MemberTableListener(
-                        self, fleet, ownRecord, reader, departures, this::onOwnDeparture);
+                        self,
+                        fleet,
+                        ownRecord,
+                        reader,
+                        departures,
+                        upstreamPublisher::restoreDeparture);
         this.memberWatch =
                 tableWatch(FleetDirectory.TABLE, store, members, reader.memberPolicy(), () -> {});
         this.configurationWatch =
@@ -234,32 +240,41 @@
                         entry,
                         status -> metrics.count("malformed", Integer.toString(status)),
                         new ConnectionFailureLog(log, "callers"));
-        return new NodePorts(
-                new ControlHttpServer(
-                        loop,
-                        settings.announcements(),
-                        new AnnouncementEndpoint(target, log),
-                        new ConnectionFailureLog(log, "announcements")),
+        LinkServer links =
                 new LinkServer(
                         loop,
                         settings.links(),
                         linkHandler,
-                        new ConnectionFailureLog(log, "incoming-link")),
-                new ControlHttpServer(
+                        new ConnectionFailureLog(log, "incoming-link"));
+        return new NodePorts(
+                controlServer(
+                        loop,
+                        settings.announcements(),
+                        new AnnouncementEndpoint(target, log),
+                        "announcements"),
+                links,
+                controlServer(
                         loop,
                         settings.readiness(),
-                        (method, path, body) -> readiness(path),
-                        new ConnectionFailureLog(log, "readiness")),
+                        new ReadinessEndpoint(this::isReady),
+                        "readiness"),
                 callers,
-                settings.metrics().map(address -> createMetricsServer(loop, address)));
+                settings.metrics()
+                        .map(
+                                address ->
+                                        controlServer(
+                                                loop,
+                                                address,
+                                                new MetricsEndpoint(metrics::render),
+                                                "metrics")));
     }
 
-    private ControlHttpServer createMetricsServer(EventLoop loop, InetSocketAddress address) {
-        return new ControlHttpServer(
-                loop,
-                address,
-                (method, path, body) -> metrics(path),
-                new ConnectionFailureLog(log, "metrics"));
+    private ControlHttpServer controlServer(
+            EventLoop loop,
+            InetSocketAddress address,
+            ControlHttpServer.RequestHandler handler,
+            String step) {
+        return new ControlHttpServer(loop, address, handler, new ConnectionFailureLog(log, step));
     }
 
     /** Opens all ports, then starts to read the store; completes when the ports are open. */
@@ -270,7 +285,7 @@
                         target,
                         entry.outcomeListener(self),
                         timers);
-        fleet.addSelf(recordFactory.create(settings.service().value(), 0), localLink);
+        fleet.addSelf(upstreamPublisher.firstRecord(settings.service()), localLink);
         return ports.start().thenRun(this::begin);
     }
 
@@ -326,16 +341,8 @@
         log.event("node-stopped").with("node", self).write();
     }
 
-    private Answer readiness(String path) {
-        if (!path.equals(EndpointPaths.READY)) {
-            return Answer.notFound();
-        }
-        boolean ready = configuration.table().isPresent() && !stop.isRunning();
-        return ready ? Answer.text(OK, "ready\n") : Answer.text(UNAVAILABLE, "not ready\n");
-    }
-
-    private Answer metrics(String path) {
-        return path.equals(METRICS_PATH) ? Answer.text(OK, metrics.render()) : Answer.notFound();
+    private boolean isReady() {
+        return configuration.table().isPresent() && !stop.isRunning();
     }
 
     private void onConfiguration(RouteTable table) {
@@ -344,30 +351,7 @@
     }
 
     private void onUpstreamChanged() {
-        TargetLoad load = target.load();
-        ports.links().broadcast(load);
-        fleet.find(self).ifPresent(own -> own.updateLoad(load, timers.now()));
-        target.upstreamTracker().current().ifPresent(this::publishRecord);
-    }
-
-    private void publishRecord(UpstreamAnnouncement upstream) {
-        if (!target.upstreamTracker().isLeaving()) {
-            ownRecord.publish(recordFactory.create(upstream.service().value(), upstream.slots()));
-        } else {
-            departures.write(recordFactory.createDeparture(upstream));
-        }
-    }
-
-    /** Until this is called, an announcement may be a late one of an upstream that has left. */
-    private void onOwnDeparture(Optional<FleetMember> departure) {
-        departure.ifPresent(
-                record ->
-                        target.upstreamTracker()
-                                .restoreDeparture(
-                                        new UpstreamId(record.getUpstreamId()),
-                                        record.getUpstreamStartEpochMilliseconds(),
-                                        timers.now()));
-        target.onHistoryKnown();
+        upstreamPublisher.publish(target.load());
     }
 
     private LinkHello createHello() {
@@ -435,6 +419,10 @@
         return memberWatch;
     }
 
+    private NodePorts ports() {
+        return ports;
+    }
+
     private EntryRequestHandler entry() {
         return entry;
     }
