Send configurations between nodes compressed, and request each version once

Cause: since nodes take the configuration from the reader of their data centre, one reader sends it to 11 to 14 others.

Change: zlib at its fastest level, made once for each version, only for peers that accept it; the text is bounded when it is decompressed. A version is requested once and again after 0.9 s.

Ruled out: reading large configurations from the store by each node (one call for each node and change).

--- a/relay/src/main/java/org/damaskmoor/relay/internal/PeerSync.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/PeerSync.java
@@ -66,6 +66,7 @@
             FleetRequest request =
                     FleetRequest.newBuilder()
                             .setConfigurationVersion(configuration.version())
+                            .setAcceptsCompressed(true)
                             .build();
             List<CallLink> links = candidateLinks();
             for (int i = 0; i < PEERS_PER_REQUEST && !links.isEmpty(); i++) {
@@ -94,7 +95,11 @@
     FleetNews createFleetNews(FleetRequest request) {
         FleetNews.Builder update = FleetNews.newBuilder();
         if (configuration.version() > request.getConfigurationVersion()) {
-            update.setConfiguration(configuration.text());
+            if (request.getAcceptsCompressed()) {
+                update.setCompressedConfiguration(configuration.compressedText());
+            } else {
+                update.setConfiguration(configuration.text());
+            }
         }
         if (!request.getConfigurationOnly()) {
             update.addAllCrashes(quarantine.records());
--- a/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
@@ -367,6 +367,7 @@
 
     private void merge(FleetNews update) {
         configuration.applyIfNewer(update.getConfiguration(), "peer");
+        configuration.applyCompressedIfNewer(update.getCompressedConfiguration(), "peer");
         fleet.merge(update.getMembersList());
         broadcastCrashes(quarantine.merge(update.getCrashesList()));
     }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/StoreReaderCoordinator.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/StoreReaderCoordinator.java
@@ -114,6 +114,8 @@
     private boolean informed;
     private boolean reader;
     private boolean readsConfiguration = true;
+    private long awaitedVersion;
+    private long awaitedSince;
 
     /** The watches of both tables of the store. */
     interface StoreWatches {
@@ -212,18 +214,31 @@
             updateInformed();
         }
         if (sign.getConfigurationVersion() > configuration.version()) {
-            if (isResting()) {
-                requestConfiguration(sender);
-            }
-            timers.schedule(CONFIGURATION_GRACE_MILLISECONDS, () -> onGraceEnded(sender, sign));
+            onNewerVersion(sender, sign.getConfigurationVersion());
         }
         if (sign.getMembersDigest() != 0 && sign.getStoreAnswers()) {
             compareMembers(sign.getMembersDigest());
         }
     }
 
-    private void onGraceEnded(NodeId sender, ReaderSign sign) {
-        if (sign.getConfigurationVersion() > configuration.version()) {
+    /** Requests a version once, and again if it has not arrived in time. */
+    private void onNewerVersion(NodeId sender, long version) {
+        long now = timers.now();
+        if (version == awaitedVersion && now - awaitedSince < CONFIGURATION_GRACE_MILLISECONDS) {
+            return;
+        }
+        awaitedVersion = version;
+        awaitedSince = now;
+        if (isResting()) {
+            requestConfiguration(sender);
+        }
+        timers.schedule(CONFIGURATION_GRACE_MILLISECONDS, () -> onGraceEnded(sender, version));
+    }
+
+    private void onGraceEnded(NodeId sender, long version) {
+        if (version > configuration.version()) {
+            awaitedVersion = version;
+            awaitedSince = timers.now();
             watches.rereadIfWaiting();
             requestConfiguration(sender);
         }
@@ -234,6 +249,7 @@
                 FleetRequest.newBuilder()
                         .setConfigurationVersion(configuration.version())
                         .setConfigurationOnly(true)
+                        .setAcceptsCompressed(true)
                         .build();
         fleet.find(sender).ifPresent(target -> target.link().send(request));
     }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/fleet/ConfigurationHolder.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/ConfigurationHolder.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.zip.DataFormatException;
 import org.damaskmoor.core.routetable.RouteTable;
 import org.damaskmoor.platform.protocol.ConfigurationDecoder;
 import org.damaskmoor.platform.protocol.MalformedMessageException;
@@ -17,9 +18,13 @@
  * <p>Confined to the event loop. Invariant: the version never decreases.
  */
 public final class ConfigurationHolder implements TableWatch.Listener {
+    /** Greatest length of a configuration that a peer sends compressed. */
+    private static final int MAX_TEXT_BYTES = 8 * 1024 * 1024;
+
     private final EventLog log;
     private final Consumer<RouteTable> listener;
     private ByteString text = ByteString.EMPTY;
+    private ByteString compressedText = ByteString.EMPTY;
     private RouteTable table;
 
     /** Creates an empty holder; the listener receives each newer configuration. */
@@ -43,6 +48,29 @@
         return text;
     }
 
+    /** The text of the configuration in force, compressed. */
+    public ByteString compressedText() {
+        if (compressedText.isEmpty()) {
+            compressedText = TextCompression.compress(text);
+        }
+        return compressedText;
+    }
+
+    /** Puts a compressed configuration in force if it is newer and valid. */
+    public void applyCompressedIfNewer(ByteString candidate, String source) {
+        if (candidate.isEmpty()) {
+            return;
+        }
+        try {
+            applyIfNewer(TextCompression.decompress(candidate, MAX_TEXT_BYTES), source);
+        } catch (DataFormatException invalid) {
+            log.event("configuration-rejected")
+                    .with("source", source)
+                    .with("cause", invalid.getMessage())
+                    .write();
+        }
+    }
+
     @Override
     public void onSnapshot(List<StoredRow> rows) {
         rows.forEach(this::onChange);
@@ -73,6 +101,7 @@
             }
             table = decoded;
             text = candidate;
+            compressedText = ByteString.EMPTY;
             log.event("configuration-in-force")
                     .with("version", table.version())
                     .with("routes", table.routes().size())
