--- a/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
@@ -1,7 +1,6 @@
 package org.damaskmoor.relay.internal;
 
 import io.netty.channel.EventLoop;
-import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -20,11 +19,6 @@
 import org.damaskmoor.platform.protocol.HttpRowStore;
 import org.damaskmoor.platform.protocol.RowStore;
 import org.damaskmoor.relay.RelaySettings;
-import org.damaskmoor.relay.internal.caller.CallerServer;
-import org.damaskmoor.relay.internal.control.AnnouncementEndpoint;
-import org.damaskmoor.relay.internal.control.ControlHttpServer;
-import org.damaskmoor.relay.internal.control.MetricsEndpoint;
-import org.damaskmoor.relay.internal.control.ReadinessEndpoint;
 import org.damaskmoor.relay.internal.entry.EntryContext;
 import org.damaskmoor.relay.internal.entry.EntryRequestHandler;
 import org.damaskmoor.relay.internal.entry.RetryBudgets;
@@ -35,8 +29,6 @@
 import org.damaskmoor.relay.internal.fleet.TableWatch;
 import org.damaskmoor.relay.internal.link.EntryId;
 import org.damaskmoor.relay.internal.link.LinkDialer;
-import org.damaskmoor.relay.internal.link.LinkServer;
-import org.damaskmoor.relay.internal.log.ConnectionFailureLog;
 import org.damaskmoor.relay.internal.log.EventLog;
 import org.damaskmoor.relay.internal.metrics.RelayMetrics;
 import org.damaskmoor.relay.internal.target.TargetCallHandler;
@@ -133,16 +125,13 @@
                         departures,
                         new OwnRecordFactory(settings, incarnation),
                         this.timers);
-        MemberTableListener members =
-                new MemberTableListener(
-                        self,
-                        fleet,
-                        ownRecord,
-                        reader,
-                        departures,
-                        upstreamPublisher::restoreDeparture);
         this.memberWatch =
-                tableWatch(FleetDirectory.TABLE, store, members, reader.memberPolicy(), () -> {});
+                tableWatch(
+                        FleetDirectory.TABLE,
+                        store,
+                        createMemberListener(),
+                        reader.memberPolicy(),
+                        () -> {});
         this.configurationWatch =
                 tableWatch(
                         ConfigurationDecoder.TABLE,
@@ -155,11 +144,20 @@
                         fleet, configuration, quarantine, this::isUninformed, this.timers, random);
         this.ports = createPorts(loop);
         this.stop = new GracefulStop(this.timers, settings.stopMilliseconds());
+        registerGauges();
+    }
+
+    private void registerGauges() {
         metrics.gauge("open-requests", entry::openRequests);
         metrics.gauge("members", () -> fleet.all().size());
         metrics.gauge("configuration-version", this::configurationVersion);
     }
 
+    private MemberTableListener createMemberListener() {
+        return new MemberTableListener(
+                self, fleet, ownRecord, reader, departures, upstreamPublisher::restoreDeparture);
+    }
+
     private TableWatch tableWatch(
             String table,
             RowStore store,
@@ -231,50 +229,8 @@
                         peerSync::createFleetNews,
                         this::merge,
                         reader::onReaderSign);
-        CallerServer callers =
-                new CallerServer(
-                        loop,
-                        settings.callers(),
-                        timers,
-                        this::callerLimits,
-                        entry,
-                        status -> metrics.count("malformed", Integer.toString(status)),
-                        new ConnectionFailureLog(log, "callers"));
-        LinkServer links =
-                new LinkServer(
-                        loop,
-                        settings.links(),
-                        linkHandler,
-                        new ConnectionFailureLog(log, "incoming-link"));
-        return new NodePorts(
-                controlServer(
-                        loop,
-                        settings.announcements(),
-                        new AnnouncementEndpoint(target, log),
-                        "announcements"),
-                links,
-                controlServer(
-                        loop,
-                        settings.readiness(),
-                        new ReadinessEndpoint(this::isReady),
-                        "readiness"),
-                callers,
-                settings.metrics()
-                        .map(
-                                address ->
-                                        controlServer(
-                                                loop,
-                                                address,
-                                                new MetricsEndpoint(metrics::render),
-                                                "metrics")));
-    }
-
-    private ControlHttpServer controlServer(
-            EventLoop loop,
-            InetSocketAddress address,
-            ControlHttpServer.RequestHandler handler,
-            String step) {
-        return new ControlHttpServer(loop, address, handler, new ConnectionFailureLog(log, step));
+        return new NodePortsFactory(settings, loop, timers, log, metrics)
+                .create(target, linkHandler, entry, this::callerLimits, this::isReady);
     }
 
     /** Opens all ports, then starts to read the store; completes when the ports are open. */
--- a/relay/src/main/java/org/damaskmoor/relay/internal/StoreReaderCoordinator.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/StoreReaderCoordinator.java
@@ -1,17 +1,11 @@
 package org.damaskmoor.relay.internal;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Collection;
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.damaskmoor.core.election.DigestComparison;
 import org.damaskmoor.core.election.ReaderElection;
-import org.damaskmoor.core.hash.StableHash;
 import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.platform.protocol.HttpRowStore;
 import org.damaskmoor.relay.internal.fleet.ConfigurationHolder;
@@ -86,9 +80,6 @@
      */
     private static final long SECOND_TABLE_BACKOFF_MILLISECONDS = 8000;
 
-    /** Nodes of each other data centre that get heartbeats: two, so that one may be lost. */
-    private static final int HEARTBEATS_PER_OTHER_DATA_CENTRE = 2;
-
     /** Ranks that wait for the configuration at the store: the reader and one more. */
     private static final int CONFIGURATION_READERS = 2;
 
@@ -389,28 +380,7 @@
         ReaderSign signWithDigest =
                 reader ? sign.toBuilder().setMembersDigest(fleet.digest()).build() : sign;
         fleet.inDataCentre().forEach(target -> target.link().send(signWithDigest));
-        likelyReadersElsewhere(otherDataCentreFilter).forEach(target -> target.link().send(sign));
-    }
-
-    /**
-     * The nodes of each other data centre that are most likely to be its reader: those with the
-     * lowest hashes, as in {@link ReaderElection}.
-     */
-    private Collection<FleetTarget> likelyReadersElsewhere(Predicate<FleetTarget> filter) {
-        Map<String, List<FleetTarget>> byDataCentre = new HashMap<>();
-        for (FleetTarget target : fleet.inOtherDataCentres()) {
-            if (filter.test(target)) {
-                byDataCentre
-                        .computeIfAbsent(target.member().getDataCentre(), name -> new ArrayList<>())
-                        .add(target);
-            }
-        }
-        List<FleetTarget> likelyReaders = new ArrayList<>();
-        for (List<FleetTarget> targets : byDataCentre.values()) {
-            targets.sort(Comparator.comparingLong(t -> StableHash.of(t.node().value())));
-            likelyReaders.addAll(
-                    targets.subList(0, Math.min(HEARTBEATS_PER_OTHER_DATA_CENTRE, targets.size())));
-        }
-        return likelyReaders;
+        LikelyReaders.of(fleet.inOtherDataCentres(), otherDataCentreFilter)
+                .forEach(target -> target.link().send(sign));
     }
 }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
@@ -1,6 +1,5 @@
 package org.damaskmoor.relay.internal.entry;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -321,23 +320,8 @@
         return upstreamAttempts < route.maximumAttempts();
     }
 
-    /**
-     * The targets that may get the call. Those whose link failed are included only if there are no
-     * others, because the call could wait for a connection until it is too late; their links are
-     * opened again meanwhile.
-     */
     private List<FleetTarget> candidates() {
-        long now = now();
-        List<FleetTarget> reachable = new ArrayList<>();
-        List<FleetTarget> failing = new ArrayList<>();
-        for (FleetTarget target : context.fleet().targets(service)) {
-            boolean eligible = target.isAcceptingCalls() && !triedNodes.contains(target.node());
-            if (eligible && !target.estimate().isAvoided(now)) {
-                (target.link().isFailing() ? failing : reachable).add(target);
-            }
-        }
-        failing.forEach(target -> target.link().open());
-        return reachable.isEmpty() ? failing : reachable;
+        return CandidateSelection.select(context.fleet().targets(service), triedNodes, now());
     }
 
     private CallProfile callProfile() {
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetCallHandler.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetCallHandler.java
@@ -143,9 +143,7 @@
         }
     }
 
-    /**
-     * It is known now, or can't be known, which incarnation left before this node was restarted.
-     */
+    /** What left before this node was restarted is known, or can't be known. */
     public void onHistoryKnown() {
         if (tracker.isAwaitingHistory()) {
             tracker.onHistoryKnown();
