Remember a deregistration that comes before any announcement

Cause: a node that was restarted knows no upstream until the next announcement. A deregistration that arrived in this time was acknowledged and forgotten; a late announcement of the same incarnation was then taken for that of a new upstream.

Change: UpstreamTracker.onLeave remembers an incarnation that is not the current one.

--- a/core/src/main/java/org/damaskmoor/core/upstream/UpstreamTracker.java
+++ b/core/src/main/java/org/damaskmoor/core/upstream/UpstreamTracker.java
@@ -108,7 +108,8 @@
     }
 
     /**
-     * Processes a message that the upstream is leaving.
+     * Processes a message that the upstream is leaving. An incarnation that has not announced
+     * itself yet, for example because this node was restarted, is remembered as well.
      *
      * @param startedAt start time of the leaving incarnation, if known
      */
@@ -118,10 +119,11 @@
                         && current.id().equals(id)
                         && (startedAt.isEmpty()
                                 || startedAt.getAsLong() == current.startEpochMilliseconds());
-        if (!isCurrent || leaving) {
+        if (!isCurrent) {
+            startedAt.ifPresent(start -> addDeparted(new Departed(id, start)));
             return Change.NONE;
         }
-        return startLeaving(now);
+        return leaving ? Change.NONE : startLeaving(now);
     }
 
     private Change startLeaving(long now) {
--- a/core/src/test/java/org/damaskmoor/core/upstream/UpstreamTrackerTest.java
+++ b/core/src/test/java/org/damaskmoor/core/upstream/UpstreamTrackerTest.java
@@ -23,6 +23,19 @@
         assertThat(tracker.acceptsCalls()).isTrue();
     }
 
+    @Test
+    void should_ignore_a_late_announcement_when_the_deregistration_came_first() {
+        // given
+        tracker.onLeave(new UpstreamId("i-1"), OptionalLong.of(100), 0);
+
+        // when
+        Change late = tracker.onAnnouncement(announcement("i-1", 100, 9, false), 10);
+
+        // then
+        assertThat(late).isEqualTo(Change.NONE);
+        assertThat(tracker.acceptsCalls()).isFalse();
+    }
+
     @Test
     void should_ignore_a_late_announcement_of_an_incarnation_that_left_before_the_restart() {
         // given
