Remember also a deregistration that does not tell its start time

Change: the id is remembered; an announcement of it that is not among the first three of an incarnation is a late one, and its start time is that of the incarnation that left. No use of the time of day.

Measured: two tests of UpstreamTracker; the first fails without the change.

--- a/core/src/main/java/org/damaskmoor/core/upstream/UpstreamTracker.java
+++ b/core/src/main/java/org/damaskmoor/core/upstream/UpstreamTracker.java
@@ -1,8 +1,10 @@
 package org.damaskmoor.core.upstream;
 
 import java.util.ArrayDeque;
+import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 
 /**
  * Tracks the upstream on this VM: its current incarnation, whether it is leaving, and whether it is
@@ -18,6 +20,9 @@
     /** Number of earlier incarnations whose late announcements are recognised. */
     private static final int REMEMBERED_INCARNATIONS = 16;
 
+    /** Sequence numbers up to which an announcement is one of the first of its incarnation. */
+    private static final long MAX_FIRST_SEQUENCE = 3;
+
     /**
      * Dispatch stops this long before the end of the drain time, so that calls in transit arrive in
      * time.
@@ -26,6 +31,7 @@
 
     private final long drainMilliseconds;
     private final ArrayDeque<Departed> departed = new ArrayDeque<>();
+    private final Set<UpstreamId> departedWithoutStart = new HashSet<>();
     private UpstreamAnnouncement current;
     private boolean leaving;
     private long leavingSince;
@@ -91,6 +97,7 @@
 
     /** Processes an announcement of the upstream. */
     public Change onAnnouncement(UpstreamAnnouncement announcement, long now) {
+        learnDeparture(announcement);
         if (hasLeft(announcement) || (current != null && !announcement.isNewerThan(current))) {
             return Change.NONE;
         }
@@ -120,7 +127,8 @@
                         && (startedAt.isEmpty()
                                 || startedAt.getAsLong() == current.startEpochMilliseconds());
         if (!isCurrent) {
-            startedAt.ifPresent(start -> addDeparted(new Departed(id, start)));
+            startedAt.ifPresentOrElse(
+                    start -> addDeparted(new Departed(id, start)), () -> addUnknownDeparture(id));
             return Change.NONE;
         }
         return leaving ? Change.NONE : startLeaving(now);
@@ -140,6 +148,23 @@
         }
     }
 
+    private void addUnknownDeparture(UpstreamId id) {
+        if (departedWithoutStart.size() < REMEMBERED_INCARNATIONS) {
+            departedWithoutStart.add(id);
+        }
+    }
+
+    /**
+     * Learns the start time of an incarnation that left without telling it. An announcement that is
+     * not among the first ones is a late one of that incarnation; the first ones are of a new one.
+     */
+    private void learnDeparture(UpstreamAnnouncement announcement) {
+        if (departedWithoutStart.remove(announcement.id())
+                && announcement.sequence() > MAX_FIRST_SEQUENCE) {
+            addDeparted(new Departed(announcement.id(), announcement.startEpochMilliseconds()));
+        }
+    }
+
     private boolean hasLeft(UpstreamAnnouncement announcement) {
         return departed.stream().anyMatch(former -> former.isSameIncarnation(announcement))
                 && (current == null || !announcement.isSameIncarnation(current));
--- a/core/src/test/java/org/damaskmoor/core/upstream/UpstreamTrackerTest.java
+++ b/core/src/test/java/org/damaskmoor/core/upstream/UpstreamTrackerTest.java
@@ -36,6 +36,31 @@
         assertThat(tracker.acceptsCalls()).isFalse();
     }
 
+    @Test
+    void should_ignore_late_announcements_when_the_deregistration_came_first_without_start_time() {
+        // given
+        tracker.onLeave(new UpstreamId("i-1"), OptionalLong.empty(), 0);
+
+        // when
+        tracker.onAnnouncement(announcement("i-1", 100, 24, false), 10);
+        tracker.onAnnouncement(announcement("i-1", 100, 25, false), 20);
+
+        // then
+        assertThat(tracker.acceptsCalls()).isFalse();
+    }
+
+    @Test
+    void should_accept_a_new_incarnation_when_the_former_one_deregistered_without_start_time() {
+        // given
+        tracker.onLeave(new UpstreamId("i-1"), OptionalLong.empty(), 0);
+
+        // when
+        tracker.onAnnouncement(announcement("i-1", 500, 1, false), 10);
+
+        // then
+        assertThat(tracker.acceptsCalls()).isTrue();
+    }
+
     @Test
     void should_ignore_a_late_announcement_of_an_incarnation_that_left_before_the_restart() {
         // given
