--- a/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
@@ -298,7 +298,9 @@
     }
 
     private boolean isReady() {
-        return configuration.table().isPresent() && !stop.isRunning();
+        return configuration.table().isPresent()
+                && !target.upstreamTracker().isAwaitingHistory()
+                && !stop.isRunning();
     }
 
     private void onConfiguration(RouteTable table) {
