Poll the configuration sooner while a node joins

All nodes of a new fleet waited 3000 ms between reading the configuration and the first wait for changes; a version stored right after the start came into force up to 3 s later, the bound is 2.5 s.

Change: 1.5 s for the configuration, members keep 3 s. NodeStartTest: 2971 ms before, passes now.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/StoreReaderCoordinator.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/StoreReaderCoordinator.java
@@ -36,6 +36,12 @@
     /** Changes of the configuration within this time cost one call to the store. */
     private static final long CONFIGURATION_DELAY_MILLISECONDS = 600;
 
+    /**
+     * The same while this node joins; a change that follows another at once must still be in force
+     * in time.
+     */
+    private static final long JOINING_CONFIGURATION_DELAY_MILLISECONDS = 1500;
+
     /** Changes of members within this time cost a reader one call to the store. */
     private static final long READER_MEMBER_DELAY_MILLISECONDS = 400;
 
@@ -47,7 +53,7 @@
 
     /**
      * Time for which a node that the store did not know before neither becomes a reader nor waits
-     * for changes, because the first nodes of a new fleet do not know each other yet.
+     * for members, because the first nodes of a new fleet do not know each other yet.
      */
     private static final long JOIN_MILLISECONDS = 3000;
 
@@ -293,7 +299,9 @@
         return new TableWatch.PollPolicy() {
             @Override
             public long pollDelayMilliseconds() {
-                return isJoining() ? JOIN_MILLISECONDS : CONFIGURATION_DELAY_MILLISECONDS;
+                return isJoining()
+                        ? JOINING_CONFIGURATION_DELAY_MILLISECONDS
+                        : CONFIGURATION_DELAY_MILLISECONDS;
             }
 
             @Override
