Request a configuration from a node that remains, and wait for it once next in rank

Change: another sender of the version replaces one that has left; without any, a peer is asked; a node that becomes next in rank ends its rest. ConfigurationRequests split out.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/NodeStoreWatches.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/NodeStoreWatches.java
@@ -40,6 +40,11 @@
         members.get().pollNow();
     }
 
+    @Override
+    public void pollConfigurationNow() {
+        configuration.get().pollNow();
+    }
+
     @Override
     public void rereadMembers() {
         members.get().rereadTable();
--- a/relay/src/main/java/org/damaskmoor/relay/internal/StoreReaderCoordinator.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/StoreReaderCoordinator.java
@@ -15,7 +15,6 @@
 import org.damaskmoor.relay.internal.log.EventLog;
 import org.damaskmoor.relay.internal.time.Timers;
 import org.damaskmoor.schema.link.FleetNews;
-import org.damaskmoor.schema.link.FleetRequest;
 import org.damaskmoor.schema.link.ReaderSign;
 
 /**
@@ -89,12 +88,6 @@
     /** Ranks that wait for the configuration at the store: the reader and one more. */
     private static final int CONFIGURATION_READERS = 2;
 
-    /**
-     * Time for a node to get a new configuration from the store or from the sender of a heartbeat,
-     * before it asks again.
-     */
-    private static final long CONFIGURATION_GRACE_MILLISECONDS = 900;
-
     /** Jitter of the polls of nodes that learn at the same time that the store answers again. */
     private static final long STORE_RETURN_JITTER_MILLISECONDS = 400;
 
@@ -102,6 +95,7 @@
     private final ReaderElection election;
     private final FleetDirectory fleet;
     private final ConfigurationHolder configuration;
+    private final ConfigurationRequests requests;
     private final StoreWatches watches;
     private final Timers timers;
     private final RandomGenerator random;
@@ -111,8 +105,6 @@
     private boolean informed;
     private boolean reader;
     private boolean readsConfiguration = true;
-    private long awaitedVersion;
-    private long awaitedSince;
 
     /** The watches of both tables of the store. */
     interface StoreWatches {
@@ -128,6 +120,9 @@
         /** Ends delays and rests of both watches. */
         void pollNow();
 
+        /** Ends the delay or rest of the configuration's watch. */
+        void pollConfigurationNow();
+
         /** Reads the members again. */
         void rereadMembers();
 
@@ -151,6 +146,9 @@
         this.election = new ReaderElection(self, startedAt);
         this.fleet = fleet;
         this.configuration = configuration;
+        this.requests =
+                new ConfigurationRequests(
+                        self, fleet, configuration, watches::rereadIfWaiting, timers, random);
         this.watches = watches;
         this.timers = timers;
         this.random = random;
@@ -176,7 +174,11 @@
     private void updateRole() {
         List<NodeId> dataCentre = fleet.inDataCentre().stream().map(FleetTarget::node).toList();
         boolean mayRead = fleet.hasSnapshot() && !isJoining();
+        boolean readBefore = readsConfiguration;
         readsConfiguration = mayRead && election.rank(dataCentre) < CONFIGURATION_READERS;
+        if (readsConfiguration && !readBefore) {
+            watches.pollConfigurationNow();
+        }
         boolean wasReader = reader;
         reader = mayRead && election.isReader(dataCentre, timers.now());
         if (reader == wasReader) {
@@ -211,46 +213,13 @@
             updateInformed();
         }
         if (sign.getConfigurationVersion() > configuration.version()) {
-            onNewerVersion(sender, sign.getConfigurationVersion());
+            requests.onNewerVersion(sender, sign.getConfigurationVersion(), isResting());
         }
         if (sign.getMembersDigest() != 0 && sign.getStoreAnswers()) {
             compareMembers(sign.getMembersDigest());
         }
     }
 
-    /** Requests a version once, and again if it has not arrived in time. */
-    private void onNewerVersion(NodeId sender, long version) {
-        long now = timers.now();
-        if (version == awaitedVersion && now - awaitedSince < CONFIGURATION_GRACE_MILLISECONDS) {
-            return;
-        }
-        awaitedVersion = version;
-        awaitedSince = now;
-        if (isResting()) {
-            requestConfiguration(sender);
-        }
-        timers.schedule(CONFIGURATION_GRACE_MILLISECONDS, () -> onGraceEnded(sender, version));
-    }
-
-    private void onGraceEnded(NodeId sender, long version) {
-        if (version > configuration.version()) {
-            awaitedVersion = version;
-            awaitedSince = timers.now();
-            watches.rereadIfWaiting();
-            requestConfiguration(sender);
-        }
-    }
-
-    private void requestConfiguration(NodeId sender) {
-        FleetRequest request =
-                FleetRequest.newBuilder()
-                        .setConfigurationVersion(configuration.version())
-                        .setConfigurationOnly(true)
-                        .setAcceptsCompressed(true)
-                        .build();
-        fleet.find(sender).ifPresent(target -> target.link().send(request));
-    }
-
     private void compareMembers(long readersDigest) {
         boolean mustRead = !reader && digests.onDigest(fleet.digest(), readersDigest, timers.now());
         if (mustRead && informed) {
