Give each listening address of tests and of the training run a loopback IP of its own

Cause: a free port was chosen on 127.0.0.1, closed and bound again later; any process of the machine could take it between.

Ruled out: retries, which would hide a port that a relay fails to bind for another reason.

Change: LoopbackAddresses, used by both.

--- a/relay/src/main/java/org/damaskmoor/relay/CdsTrainingRun.java
+++ b/relay/src/main/java/org/damaskmoor/relay/CdsTrainingRun.java
@@ -5,9 +5,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -23,6 +21,7 @@
 import org.damaskmoor.relay.internal.RelayNode;
 import org.damaskmoor.relay.internal.SettingsFileWatcher;
 import org.damaskmoor.relay.internal.log.RateLimitedEventLog;
+import org.damaskmoor.relay.internal.net.LoopbackAddresses;
 import org.damaskmoor.relay.internal.time.EventLoopTimers;
 import org.damaskmoor.schema.link.FleetMember;
 
@@ -127,7 +126,7 @@
                         "readiness-address",
                         "announcement-address",
                         "metrics-address")) {
-            lines.add(name + "=" + text(freeAddress()));
+            lines.add(name + "=" + text(LoopbackAddresses.next()));
         }
         lines.add("store-address=" + text(store.address()));
         lines.add("upstream-address=" + text(upstream.address()));
@@ -161,10 +160,4 @@
             }
         }
     }
-
-    private static InetSocketAddress freeAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
-        }
-    }
 }
--- a/relay/src/test/java/org/damaskmoor/relay/RelayFailureTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/RelayFailureTest.java
@@ -11,6 +11,7 @@
 import org.damaskmoor.platform.standin.UpstreamStandIn;
 import org.damaskmoor.relay.fixture.InProcessRelay;
 import org.damaskmoor.relay.fixture.TestFleet;
+import org.damaskmoor.relay.internal.net.LoopbackAddresses;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -210,7 +211,7 @@
                         "books",
                         upstream.address(),
                         fleet.store.address(),
-                        InProcessRelay.freeAddress(),
+                        LoopbackAddresses.next(),
                         target.links(),
                         List.of())) {
             formerOwner.announce("i-1", 100, 1, "ready");
