Rest after a wait at the store without changes, when a reader tells of changes

Cause: a wait that ended without changes was followed by another one, also at nodes that hear a reader.

Ruled out: a later first wait, which would delay a change that comes right after the start (see NodeStartTest).

Change: TableWatch checks the poll policy then as well. TableWatchTest: failed before.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/fleet/TableWatch.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/TableWatch.java
@@ -212,10 +212,13 @@
     }
 
     private void onWatched(RowPage page, long version) {
-        if (page.rows().isEmpty()) {
-            watch(version);
+        Runnable next = () -> watch(version);
+        if (!page.rows().isEmpty()) {
+            delay(pollPolicy.pollDelayMilliseconds(), next);
+        } else if (pollPolicy.isResting()) {
+            delay(REST_MILLISECONDS, next);
         } else {
-            delay(pollPolicy.pollDelayMilliseconds(), () -> watch(version));
+            next.run();
         }
     }
 
--- a/relay/src/test/java/org/damaskmoor/relay/internal/StoreReaderSuccessionTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/internal/StoreReaderSuccessionTest.java
@@ -16,6 +16,7 @@
 import org.damaskmoor.platform.protocol.StoredRow;
 import org.damaskmoor.platform.standin.ConfigurationJson;
 import org.damaskmoor.relay.fixture.ManualTimers;
+import org.damaskmoor.relay.fixture.SilentLog;
 import org.damaskmoor.relay.internal.fleet.ConfigurationHolder;
 import org.damaskmoor.relay.internal.fleet.FleetDirectory;
 import org.damaskmoor.relay.internal.link.CallLink;
@@ -232,24 +233,4 @@
         @Override
         public void close() {}
     }
-
-    private static final class SilentLog implements EventLog, EventLog.Line {
-        @Override
-        public EventLog.Line event(String name) {
-            return this;
-        }
-
-        @Override
-        public EventLog.Line with(String key, Object value) {
-            return this;
-        }
-
-        @Override
-        public EventLog.Line with(String key, long value) {
-            return this;
-        }
-
-        @Override
-        public void write() {}
-    }
 }
--- /dev/null
+++ b/relay/src/test/java/org/damaskmoor/relay/internal/fleet/TableWatchTest.java
@@ -0,0 +1,140 @@
+package org.damaskmoor.relay.internal.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.protobuf.ByteString;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import org.damaskmoor.platform.protocol.RowPage;
+import org.damaskmoor.platform.protocol.RowStore;
+import org.damaskmoor.platform.protocol.StoredRow;
+import org.damaskmoor.relay.fixture.ManualTimers;
+import org.damaskmoor.relay.fixture.SilentLog;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class TableWatchTest {
+    private static final long POLL_DELAY_MILLISECONDS = 100;
+    private static final RowPage NO_CHANGES = new RowPage(List.of(), false, 1);
+
+    private final ManualTimers timers = new ManualTimers();
+    private final WaitingStore store = new WaitingStore();
+    private boolean resting;
+    private TableWatch watch;
+
+    @BeforeEach
+    void start() {
+        watch =
+                new TableWatch(
+                        "members",
+                        store,
+                        timers,
+                        new SplittableRandom(1),
+                        new SilentLog(),
+                        new IgnoringListener(),
+                        new FixedPolicy(),
+                        () -> {});
+        watch.start();
+        timers.advance(POLL_DELAY_MILLISECONDS);
+    }
+
+    @Test
+    void should_wait_again_after_a_wait_without_changes() {
+        // when
+        store.lastWait().complete(NO_CHANGES);
+
+        // then
+        assertThat(store.waits).hasSize(2);
+    }
+
+    @Test
+    void should_rest_after_a_wait_without_changes_when_changes_are_learned_elsewhere() {
+        // given
+        resting = true;
+
+        // when
+        store.lastWait().complete(NO_CHANGES);
+        timers.advance(POLL_DELAY_MILLISECONDS);
+
+        // then
+        assertThat(store.waits).hasSize(1);
+    }
+
+    @Test
+    void should_wait_again_at_once_when_the_rest_is_ended() {
+        // given
+        resting = true;
+        store.lastWait().complete(NO_CHANGES);
+
+        // when
+        resting = false;
+        watch.pollNow();
+
+        // then
+        assertThat(store.waits).hasSize(2);
+    }
+
+    private final class FixedPolicy implements TableWatch.PollPolicy {
+        @Override
+        public long pollDelayMilliseconds() {
+            return POLL_DELAY_MILLISECONDS;
+        }
+
+        @Override
+        public Duration watchWait() {
+            return Duration.ofSeconds(30);
+        }
+
+        @Override
+        public boolean isResting() {
+            return resting;
+        }
+
+        @Override
+        public long backoffMilliseconds(int failures) {
+            return POLL_DELAY_MILLISECONDS;
+        }
+    }
+
+    /** A store with an empty table, whose calls that wait are answered by the test. */
+    private static final class WaitingStore implements RowStore {
+        final List<CompletableFuture<RowPage>> waits = new ArrayList<>();
+
+        CompletableFuture<RowPage> lastWait() {
+            return waits.get(waits.size() - 1);
+        }
+
+        @Override
+        public CompletableFuture<RowPage> read(String table, String fromKey) {
+            return CompletableFuture.completedFuture(NO_CHANGES);
+        }
+
+        @Override
+        public CompletableFuture<RowPage> watch(String table, long afterVersion, Duration wait) {
+            CompletableFuture<RowPage> waiting = new CompletableFuture<>();
+            waits.add(waiting);
+            return waiting;
+        }
+
+        @Override
+        public CompletableFuture<Long> put(String table, String key, ByteString value) {
+            throw new UnsupportedOperationException("The test does not write.");
+        }
+
+        @Override
+        public CompletableFuture<Boolean> remove(String table, String key, long version) {
+            throw new UnsupportedOperationException("The test does not write.");
+        }
+    }
+
+    private static final class IgnoringListener implements TableWatch.Listener {
+        @Override
+        public void onSnapshot(List<StoredRow> rows) {}
+
+        @Override
+        public void onChange(StoredRow row) {}
+    }
+}
