--- a/bench/src/main/java/org/damaskmoor/bench/BenchMain.java
+++ b/bench/src/main/java/org/damaskmoor/bench/BenchMain.java
@@ -1,9 +1,11 @@
 package org.damaskmoor.bench;
 
 import com.github.rvesse.airline.Cli;
+import com.github.rvesse.airline.help.Help;
 import com.github.rvesse.airline.parser.errors.ParseException;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import org.damaskmoor.bench.capacity.CapacityCommand;
 import org.damaskmoor.bench.demo.DemoCommand;
@@ -26,6 +28,7 @@
  * invalid.
  */
 public final class BenchMain {
+    private static final Set<String> HELP = Set.of("-h", "--help", "help");
     private static final int FAILED = 1;
     private static final int INVALID_FLAGS = 2;
 
@@ -41,6 +44,11 @@
                 return new EmulatedNode(BenchMain::runNode)
                         .run(List.of(arguments).subList(1, arguments.length));
             }
+            boolean helpRequested = arguments.length > 0 && HELP.contains(arguments[0]);
+            if (helpRequested || arguments.length == 0) {
+                Help.help(cli().getMetadata(), List.of());
+                return helpRequested ? 0 : INVALID_FLAGS;
+            }
             return cli().parse(arguments).call();
         } catch (ParseException e) {
             System.err.println(e.getMessage());
--- a/core/src/main/java/org/damaskmoor/core/id/RequestId.java
+++ b/core/src/main/java/org/damaskmoor/core/id/RequestId.java
@@ -33,6 +33,7 @@
 
     @Override
     public int hashCode() {
-        return 31 * (31 * Long.hashCode(sequence) + entryNode.hashCode()) + entryIncarnation.hashCode();
+        return 31 * (31 * Long.hashCode(sequence) + entryNode.hashCode())
+                + entryIncarnation.hashCode();
     }
 }
--- a/relay/src/main/java/org/damaskmoor/relay/RelayMain.java
+++ b/relay/src/main/java/org/damaskmoor/relay/RelayMain.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
@@ -24,6 +25,7 @@
     private static final int EXIT_BAD_SETTING = 2;
     private static final String CHECK_SETTINGS = "--check-settings";
     private static final String REHEARSE = "--rehearse";
+    private static final Set<String> HELP = Set.of("-h", "--help", "help");
     private static final String USAGE =
             """
             usage: damaskmoor-relay [--check-settings] [SETTINGS-FILE]
@@ -40,6 +42,10 @@
     private static int run(String[] arguments) {
         // Spares the search for other logging libraries, which takes time in a new process.
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        if (arguments.length == 1 && HELP.contains(arguments[0])) {
+            System.out.println(USAGE);
+            return EXIT_PLANNED_STOP;
+        }
         if (arguments.length == 1 && arguments[0].equals(REHEARSE)) {
             return runCdsTraining();
         }
--- a/relay/src/main/java/org/damaskmoor/relay/RelaySettingsReader.java
+++ b/relay/src/main/java/org/damaskmoor/relay/RelaySettingsReader.java
@@ -26,6 +26,7 @@
  */
 public final class RelaySettingsReader {
     private static final long MILLISECONDS_PER_SECOND = 1000;
+    private static final String NON_NEGATIVE = "a number that is not negative";
     private static final long LEAST_MAX_ANSWER_BYTES = 64 * 1024;
     private static final long GREATEST_MAX_ANSWER_BYTES = 64 * 1024 * 1024;
 
@@ -172,9 +173,14 @@
     }
 
     private static double parseNonNegative(String text) {
-        double number = Double.parseDouble(text);
+        double number;
+        try {
+            number = Double.parseDouble(text);
+        } catch (NumberFormatException notANumber) {
+            throw new IllegalArgumentException(NON_NEGATIVE, notANumber);
+        }
         if (!(number >= 0)) {
-            throw new IllegalArgumentException("a number that is not negative");
+            throw new IllegalArgumentException(NON_NEGATIVE);
         }
         return number;
     }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/ConfigurationRequests.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/ConfigurationRequests.java
@@ -13,9 +13,8 @@
 /**
  * Requests newer versions of the configuration that heartbeats tell of.
  *
- * <p>Confined to the event loop. Invariants: a version is requested at most once within the
- * grace time while its sender is a member; if the sender has left, it is requested from another
- * node.
+ * <p>Confined to the event loop. Invariants: a version is requested at most once within the grace
+ * time while its sender is a member; if the sender has left, it is requested from another node.
  */
 final class ConfigurationRequests {
     /**
@@ -62,7 +61,9 @@
      */
     void onNewerVersion(NodeId sender, long version, boolean atOnce) {
         long now = timers.now();
-        if (version == awaitedVersion && now - awaitedSince < GRACE_MILLISECONDS && isSenderKnown()) {
+        if (version == awaitedVersion
+                && now - awaitedSince < GRACE_MILLISECONDS
+                && isSenderKnown()) {
             return;
         }
         awaitedSender = sender;
--- a/relay/src/main/java/org/damaskmoor/relay/internal/net/LoopbackAddresses.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/net/LoopbackAddresses.java
@@ -28,9 +28,7 @@
     public static InetSocketAddress next() throws IOException {
         int host = NEXT_HOST.getAndIncrement();
         int subnet = FIRST_SUBNET + Math.floorMod(host >>> (2 * Byte.SIZE), SUBNETS);
-        byte[] bytes = {
-            LOOPBACK_NETWORK, (byte) subnet, (byte) (host >>> Byte.SIZE), (byte) host
-        };
+        byte[] bytes = {LOOPBACK_NETWORK, (byte) subnet, (byte) (host >>> Byte.SIZE), (byte) host};
         InetAddress address = InetAddress.getByAddress(bytes);
         try (ServerSocket socket = new ServerSocket(0, 1, address)) {
             return new InetSocketAddress(address, socket.getLocalPort());
--- a/relay/src/test/java/org/damaskmoor/relay/RelaySettingsReaderTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/RelaySettingsReaderTest.java
@@ -41,6 +41,23 @@
         assertThat(rejected).hasMessageThat().contains("drain has the value '2500'");
     }
 
+    @Test
+    void should_say_what_is_allowed_when_a_number_is_expected() {
+        // given
+        Properties properties = properties();
+        properties.setProperty("retry-slack", "many");
+
+        // when
+        SettingsException rejected =
+                assertThrows(SettingsException.class, () -> RelaySettingsReader.read(properties));
+
+        // then
+        assertThat(rejected)
+                .hasMessageThat()
+                .isEqualTo(
+                        "retry-slack has the value 'many'; allowed: a number that is not negative");
+    }
+
     private static Properties properties() {
         Properties properties = new Properties();
         properties.setProperty("node-id", "one");
--- a/relay/src/test/java/org/damaskmoor/relay/internal/StoreReaderSuccessionTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/internal/StoreReaderSuccessionTest.java
@@ -65,13 +65,7 @@
         configuration.applyIfNewer(text(4), "store");
         coordinator =
                 new StoreReaderCoordinator(
-                        self,
-                        fleet,
-                        configuration,
-                        watches,
-                        timers,
-                        new SplittableRandom(1),
-                        log);
+                        self, fleet, configuration, watches, timers, new SplittableRandom(1), log);
         coordinator.start();
         hearFrom(reader, 4);
         timers.advance(CHECK_MILLISECONDS);
--- a/soak/src/main/java/org/damaskmoor/soak/SoakCommand.java
+++ b/soak/src/main/java/org/damaskmoor/soak/SoakCommand.java
@@ -1,5 +1,7 @@
 package org.damaskmoor.soak;
 
+import com.github.rvesse.airline.HelpOption;
+import com.github.rvesse.airline.annotations.AirlineModule;
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
 import java.nio.file.Files;
@@ -21,6 +23,8 @@
 public final class SoakCommand implements Callable<Integer> {
     private static final long MILLISECONDS_PER_SECOND = 1000;
 
+    @AirlineModule private HelpOption<SoakCommand> help;
+
     @Option(name = "--seed", description = "The first seed")
     private long seed = 1;
 
@@ -43,6 +47,9 @@
 
     @Override
     public Integer call() throws Exception {
+        if (help.showHelpIfRequested()) {
+            return 0;
+        }
         Path jar = Path.of(relayJar);
         if (!Files.isRegularFile(jar)) {
             System.err.println("Relay jar not found: " + jar + ". Build it or set --relay-jar.");
