--- a/relay/src/main/java/org/damaskmoor/relay/RelayMain.java
+++ b/relay/src/main/java/org/damaskmoor/relay/RelayMain.java
@@ -31,7 +31,8 @@
             usage: damaskmoor-relay [--check-settings] [SETTINGS-FILE]
               SETTINGS-FILE     properties file; by default the one that the platform names
               --check-settings  checks the settings and exits
-              --rehearse        runs a class data sharing training run and exits; for the build""";
+              --rehearse        runs a class data sharing training run and exits; for the build
+              --help            shows this text""";
 
     private RelayMain() {}
 
