Log the request limits that upstreams name, with the calls started meanwhile

Nothing read the headers Server-Limit and Server-Leaving. No call is placed or started otherwise than before.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/CallRunner.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/CallRunner.java
@@ -38,6 +38,7 @@
     private final UpstreamHealthMonitor healthMonitor;
     private final TargetReplySender replySender;
     private final TargetCallbacks callbacks;
+    private final NoticeMonitor noticeMonitor;
     private final Timers timers;
     private final Runnable startQueuedCalls;
     private final UpstreamConcurrencyLimit upstreamLimit = new UpstreamConcurrencyLimit();
@@ -52,6 +53,7 @@
             UpstreamHealthMonitor healthMonitor,
             TargetReplySender replySender,
             TargetCallbacks callbacks,
+            NoticeMonitor noticeMonitor,
             Timers timers,
             Runnable startQueuedCalls) {
         this.openCalls = openCalls;
@@ -63,6 +65,7 @@
         this.healthMonitor = healthMonitor;
         this.replySender = replySender;
         this.callbacks = callbacks;
+        this.noticeMonitor = noticeMonitor;
         this.timers = timers;
         this.startQueuedCalls = startQueuedCalls;
     }
@@ -88,6 +91,7 @@
             return;
         }
         call.startedAt = now;
+        noticeMonitor.onCallStarted();
         SlowdownDetector detector = slownessProbe.slowdownDetector();
         call.slownessAtStart = detector.hasReading() ? detector.lastReading() : 0;
         call.runningAtStart = queue.running();
@@ -108,10 +112,10 @@
         long now = timers.now();
         call.deadlineTimer.cancel();
         if (outcome instanceof UpstreamOutcome.Answered answered) {
-            answered.load().ifPresent(slownessProbe::onLoad);
+            onReport(answered.report(), NoticeMonitor.Source.ANSWER);
             onAnswered(call, answered, now);
         } else if (outcome instanceof UpstreamOutcome.NotRun notRun) {
-            notRun.load().ifPresent(slownessProbe::onLoad);
+            onReport(notRun.report(), NoticeMonitor.Source.REFUSAL);
             onNotRun(call, notRun, now);
         } else if (outcome instanceof UpstreamOutcome.Failed failed) {
             onFailed(call, failed.detail());
@@ -119,6 +123,11 @@
         startQueuedCalls.run();
     }
 
+    private void onReport(UpstreamReport report, NoticeMonitor.Source source) {
+        report.load().ifPresent(slownessProbe::onLoad);
+        noticeMonitor.onNotice(report.notice(), source);
+    }
+
     private void onAnswered(TargetCall call, UpstreamOutcome.Answered answered, long now) {
         long durationMilliseconds = now - call.startedAt;
         boolean failed = answered.status() >= FIRST_SERVER_ERROR;
@@ -161,7 +170,8 @@
 
     /** An upstream that sheds calls although slots are free would shed fewer calls as well. */
     private static boolean wasFull(UpstreamOutcome.NotRun notRun) {
-        return notRun.load()
+        return notRun.report()
+                .load()
                 .map(load -> load.waiting() > 0 || load.running() >= load.slots())
                 .orElse(true);
     }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/SlownessProbe.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/SlownessProbe.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import org.damaskmoor.core.queueing.SlowdownDetector;
 import org.damaskmoor.core.upstream.UpstreamLoad;
+import org.damaskmoor.core.upstream.UpstreamNotice;
 import org.damaskmoor.relay.internal.time.Timers;
 
 /**
@@ -22,6 +23,7 @@
     private final Timers timers;
     private final Consumer<TargetCall> offer;
     private final Runnable afterProbe;
+    private final Consumer<UpstreamNotice> onNotice;
     private final SlowdownDetector detector = new SlowdownDetector();
     private final List<TargetCall> deferred = new ArrayList<>();
     private boolean probing;
@@ -31,6 +33,7 @@
      *
      * @param offer receives deferred calls when the probe has ended
      * @param afterProbe runs after each probe
+     * @param onNotice receives the notice with which the upstream answers a probe
      */
     SlownessProbe(
             UpstreamConnectionPool pool,
@@ -38,13 +41,15 @@
             TargetCallbacks callbacks,
             Timers timers,
             Consumer<TargetCall> offer,
-            Runnable afterProbe) {
+            Runnable afterProbe,
+            Consumer<UpstreamNotice> onNotice) {
         this.pool = pool;
         this.rateLimit = rateLimit;
         this.callbacks = callbacks;
         this.timers = timers;
         this.offer = offer;
         this.afterProbe = afterProbe;
+        this.onNotice = onNotice;
     }
 
     /** The slowness readings of the VM. */
@@ -94,9 +99,10 @@
         deferred.remove(call);
     }
 
-    private void onProbed(Optional<UpstreamLoad> load) {
+    private void onProbed(Optional<UpstreamReport> report) {
         probing = false;
-        load.ifPresent(this::onLoad);
+        report.flatMap(UpstreamReport::load).ifPresent(this::onLoad);
+        report.map(UpstreamReport::notice).ifPresent(onNotice);
         List<TargetCall> released = List.copyOf(deferred);
         deferred.clear();
         released.forEach(offer);
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetCallHandler.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetCallHandler.java
@@ -86,6 +86,7 @@
         this.loadReporter = new TargetLoadReporter(tracker, queue);
         this.replySender = new TargetReplySender(timers, log, this::load);
         this.openCalls = new OpenCalls(ledger, replySender);
+        NoticeMonitor noticeMonitor = new NoticeMonitor(timers, log);
         UpstreamConnectionPool pool =
                 new UpstreamConnectionPool(loop, upstream, maxAnswerBytes, timers);
         this.slownessProbe =
@@ -95,7 +96,8 @@
                         callbacks,
                         timers,
                         this::offer,
-                        this::startQueuedCalls);
+                        this::startQueuedCalls,
+                        notice -> noticeMonitor.onNotice(notice, NoticeMonitor.Source.PROBE));
         this.runner =
                 new CallRunner(
                         openCalls,
@@ -107,6 +109,7 @@
                         new UpstreamHealthMonitor(tracker, pool, timers, log, new HealthListener()),
                         replySender,
                         callbacks,
+                        noticeMonitor,
                         timers,
                         this::startQueuedCalls);
     }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnection.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnection.java
@@ -17,9 +17,9 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.damaskmoor.core.buffer.BufferBudget;
-import org.damaskmoor.core.upstream.UpstreamLoad;
 import org.damaskmoor.platform.protocol.HeaderNames;
 import org.damaskmoor.platform.protocol.LoadDecoder;
+import org.damaskmoor.platform.protocol.NoticeDecoder;
 import org.damaskmoor.relay.internal.net.ForwardedHeaders;
 import org.damaskmoor.schema.mesh.HeaderField;
 
@@ -86,17 +86,19 @@
         written = channel.writeAndFlush(request);
     }
 
-    /** Sends a health check; the load is reported once, empty if there is none. */
-    void checkHealth(FullHttpRequest request, Consumer<Optional<UpstreamLoad>> onLoad) {
+    /** Sends a health check; the report is given once, empty if there is no answer. */
+    void checkHealth(FullHttpRequest request, Consumer<Optional<UpstreamReport>> onReport) {
         healthChecking = true;
-        send("", request, outcome -> onLoad.accept(load(outcome)));
+        send("", request, outcome -> onReport.accept(report(outcome)));
     }
 
-    private static Optional<UpstreamLoad> load(UpstreamOutcome outcome) {
+    private static Optional<UpstreamReport> report(UpstreamOutcome outcome) {
         if (outcome instanceof UpstreamOutcome.Answered answered) {
-            return answered.load();
+            return Optional.of(answered.report());
         }
-        return outcome instanceof UpstreamOutcome.NotRun notRun ? notRun.load() : Optional.empty();
+        return outcome instanceof UpstreamOutcome.NotRun notRun
+                ? Optional.of(notRun.report())
+                : Optional.empty();
     }
 
     /** Abandons the current call and closes the connection. */
@@ -260,21 +262,25 @@
     }
 
     private UpstreamOutcome outcome(HttpResponse response) {
-        Optional<UpstreamLoad> load =
-                LoadDecoder.decode(response.headers().get(HeaderNames.UPSTREAM_LOAD));
+        UpstreamReport report =
+                new UpstreamReport(
+                        LoadDecoder.decode(response.headers().get(HeaderNames.UPSTREAM_LOAD)),
+                        NoticeDecoder.decode(
+                                response.headers().get(HeaderNames.UPSTREAM_LIMIT),
+                                response.headers().get(HeaderNames.UPSTREAM_LEAVING)));
         int status = response.status().code();
         if (status == MISDIRECTED_REQUEST) {
-            return new UpstreamOutcome.NotRun(UpstreamOutcome.Cause.OTHER_UPSTREAM, load);
+            return new UpstreamOutcome.NotRun(UpstreamOutcome.Cause.OTHER_UPSTREAM, report);
         }
         boolean mayRefuse =
                 status == SERVICE_UNAVAILABLE
                         || status == TOO_MANY_REQUESTS
                         || status == BAD_REQUEST;
         if (mayRefuse && response.headers().contains(HeaderNames.NOT_RUN)) {
-            return new UpstreamOutcome.NotRun(UpstreamOutcome.Cause.SHED, load);
+            return new UpstreamOutcome.NotRun(UpstreamOutcome.Cause.SHED, report);
         }
         List<HeaderField> headers = ForwardedHeaders.ofAnswer(response.headers());
-        return new UpstreamOutcome.Answered(status, headers, body.toByteString(), load);
+        return new UpstreamOutcome.Answered(status, headers, body.toByteString(), report);
     }
 
     private void end(UpstreamOutcome outcome) {
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnectionPool.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnectionPool.java
@@ -16,7 +16,6 @@
 import java.util.function.Consumer;
 import org.damaskmoor.core.buffer.BufferBudget;
 import org.damaskmoor.core.upstream.UpstreamId;
-import org.damaskmoor.core.upstream.UpstreamLoad;
 import org.damaskmoor.relay.internal.time.Timers;
 import org.damaskmoor.schema.link.ForwardedCall;
 
@@ -102,9 +101,9 @@
         return pending;
     }
 
-    /** Sends a health check; the load is empty if none arrives in time. */
-    void checkHealth(String path, Consumer<Optional<UpstreamLoad>> onLoad) {
-        HealthCheck check = new HealthCheck(path, onLoad);
+    /** Sends a health check; the report is empty if no answer arrives in time. */
+    void checkHealth(String path, Consumer<Optional<UpstreamReport>> onReport) {
+        HealthCheck check = new HealthCheck(path, onReport);
         UpstreamConnection reused = takeIdle(false);
         if (reused != null) {
             check.on(reused);
@@ -185,12 +184,12 @@
 
     private final class HealthCheck {
         private final String path;
-        private final Consumer<Optional<UpstreamLoad>> onLoad;
+        private final Consumer<Optional<UpstreamReport>> onReport;
         private boolean ended;
 
-        HealthCheck(String path, Consumer<Optional<UpstreamLoad>> onLoad) {
+        HealthCheck(String path, Consumer<Optional<UpstreamReport>> onReport) {
             this.path = path;
-            this.onLoad = onLoad;
+            this.onReport = onReport;
         }
 
         void onConnected(ChannelFuture connected) {
@@ -213,10 +212,10 @@
                     });
         }
 
-        private void end(Optional<UpstreamLoad> load) {
+        private void end(Optional<UpstreamReport> report) {
             if (!ended) {
                 ended = true;
-                onLoad.accept(load);
+                onReport.accept(report);
             }
         }
     }
@@ -245,7 +244,7 @@
                 if (!abandoned) {
                     outcome.accept(
                             new UpstreamOutcome.NotRun(
-                                    UpstreamOutcome.Cause.UNREACHABLE, Optional.empty()));
+                                    UpstreamOutcome.Cause.UNREACHABLE, UpstreamReport.NONE));
                 }
             } else if (abandoned) {
                 release(connection(connected.channel()));
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamOutcome.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamOutcome.java
@@ -2,19 +2,16 @@
 
 import com.google.protobuf.ByteString;
 import java.util.List;
-import java.util.Optional;
-import org.damaskmoor.core.upstream.UpstreamLoad;
 import org.damaskmoor.schema.mesh.HeaderField;
 
 /** The outcome of a call that was sent to the upstream. Immutable and thread-safe. */
 sealed interface UpstreamOutcome {
     /** The upstream sent a complete answer. */
-    record Answered(
-            int status, List<HeaderField> headers, ByteString body, Optional<UpstreamLoad> load)
+    record Answered(int status, List<HeaderField> headers, ByteString body, UpstreamReport report)
             implements UpstreamOutcome {}
 
     /** The upstream certainly did not run the call. */
-    record NotRun(Cause cause, Optional<UpstreamLoad> load) implements UpstreamOutcome {}
+    record NotRun(Cause cause, UpstreamReport report) implements UpstreamOutcome {}
 
     /** No complete answer arrived: it is unknown whether the call ran. */
     record Failed(String detail) implements UpstreamOutcome {}
