Keep a named request limit when the node beside the upstream is restarted

Reproduced in UpstreamLimitTest with an upstream that takes 900 ms and answers no health check: 11 requests in 4 s, 8 allowed.

Entries keep the last limit that a target has told and send it along with each call. A target uses it only while its upstream has not answered. Nothing is written to the store for it, so it also holds while the store is away.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetCallHandler.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetCallHandler.java
@@ -222,6 +222,9 @@
 
     private void admit(TargetCall call) {
         openCalls.add(call);
+        if (call.message.hasHeardLimitPerSecond()) {
+            notices.onHearsay(call.message.getHeardLimitPerSecond());
+        }
         if (tracker.isDown() || !slownessProbe.deferUntilProbed(call)) {
             offer(call);
         }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamNotices.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamNotices.java
@@ -65,6 +65,14 @@
         last = UpstreamNotice.NONE;
     }
 
+    /** An entry sent a call with the last limit that it has heard. */
+    void onHearsay(double limitPerSecond) {
+        if (!pacer.isKnown() && pacer.limitPerSecond().isEmpty()) {
+            log.event("upstream-limit-heard").with("limit", limitPerSecond).write();
+            pacer.onHearsay(limitPerSecond, timers.now());
+        }
+    }
+
     /** A call was handed over to the upstream. */
     void onCallStarted() {
         starts.addLast(timers.now());
--- a/relay/src/test/java/org/damaskmoor/relay/UpstreamLimitTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/UpstreamLimitTest.java
@@ -84,6 +84,33 @@
         }
     }
 
+    @Test
+    void should_keep_the_limit_after_a_restart_of_the_node_beside_the_upstream() throws Exception {
+        // given
+        upstream.setHealthScript(connection -> {});
+        upstream.setScript(
+                (request, connection) -> {
+                    Thread.sleep(900);
+                    connection.send(
+                            UpstreamStandIn.answer(
+                                    request.id(), 200, "slow", "Server-Limit: 0.5\r\n"));
+                });
+        send(entry, "first");
+        send(secondEntry, "first");
+        final long namedAt = System.nanoTime();
+        sendFor(2000);
+        target.kill();
+
+        // when
+        try (InProcessRelay restarted = fleet.restart(target, upstream)) {
+            restarted.announce("i-1", 100, 9, "ready");
+            sendFor(4000);
+
+            // then
+            assertThat(maxInWindow(namedAt)).isAtMost(maxAllowed(0.5));
+        }
+    }
+
     @Test
     void should_use_all_slots_again_when_the_upstream_names_no_limit_any_more() throws Exception {
         // given
