Stop sending to an upstream that says in its answers that it is leaving

A request reached an upstream after the drain time although its node had passed on an answer that says Server-Leaving (DRAIN): the target learned of leaving upstreams from announcements only, which may be late or missing.

Any answer, refusal or health check with the header now counts like the announcement, for the incarnation that gave it. An answer of an incarnation that has been replaced counts no more.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetCallHandler.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetCallHandler.java
@@ -91,7 +91,7 @@
         this.loadReporter = new TargetLoadReporter(tracker, queue, pacer);
         this.replySender = new TargetReplySender(timers, log, this::load);
         this.openCalls = new OpenCalls(ledger, replySender);
-        this.notices = new UpstreamNotices(tracker, pacer, timers, log);
+        this.notices = new UpstreamNotices(tracker, pacer, timers, log, this::onLeavingHeard);
         UpstreamConnectionPool pool =
                 new UpstreamConnectionPool(loop, upstream, maxAnswerBytes, timers);
         this.slownessProbe =
@@ -155,8 +155,17 @@
      * @param startedAt start time of the incarnation that leaves, if known
      */
     public void onDeregistration(UpstreamId id, OptionalLong startedAt) {
+        onLeave(id, startedAt, "deregister");
+    }
+
+    private void onLeavingHeard(UpstreamAnnouncement upstream) {
+        OptionalLong startedAt = OptionalLong.of(upstream.startEpochMilliseconds());
+        onLeave(upstream.id(), startedAt, "answer");
+    }
+
+    private void onLeave(UpstreamId id, OptionalLong startedAt, String step) {
         if (tracker.onLeave(id, startedAt, timers.now()) != Change.NONE) {
-            log.event("upstream-leaving").with("upstream", id).with("step", "deregister").write();
+            log.event("upstream-leaving").with("upstream", id).with("step", step).write();
             callbacks.onUpstreamChanged();
         }
     }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamNotices.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamNotices.java
@@ -31,12 +31,24 @@
     private final CallPacer pacer;
     private final Timers timers;
     private final EventLog log;
+    private final Consumer<UpstreamAnnouncement> onLeaving;
     private final ArrayDeque<Long> starts = new ArrayDeque<>();
     private UpstreamNotice last = UpstreamNotice.NONE;
     private long loggedAt;
     private long answeredAt;
 
-    UpstreamNotices(UpstreamTracker tracker, CallPacer pacer, Timers timers, EventLog log) {
+    /**
+     * Creates the notices of an upstream.
+     *
+     * @param onLeaving runs when the upstream says that it is leaving
+     */
+    UpstreamNotices(
+            UpstreamTracker tracker,
+            CallPacer pacer,
+            Timers timers,
+            EventLog log,
+            Consumer<UpstreamAnnouncement> onLeaving) {
+        this.onLeaving = onLeaving;
         this.tracker = tracker;
         this.pacer = pacer;
         this.timers = timers;
@@ -49,6 +61,9 @@
         return report -> {
             if (isCurrent(sentTo)) {
                 onReport(report);
+                if (report.notice().leaving()) {
+                    onLeaving.accept(sentTo.get());
+                }
             }
         };
     }
