Remember at the entry which upstreams are leaving

A target that was restarted while the store was away didn't know that its upstream leaves, took a late announcement for a new one, and entries that had passed on an answer with Server-Leaving sent to it again: 54 requests later than the drain time in LeavingUpstreamTest, of which the one from the restarted node itself is allowed. The class is that of the lost request limit: what a target has told is gone with its process, while those it told live on.

Load reports name the upstream's incarnation by a digest and tell whether it leaves.

--- a/core/src/main/java/org/damaskmoor/core/upstream/UpstreamAnnouncement.java
+++ b/core/src/main/java/org/damaskmoor/core/upstream/UpstreamAnnouncement.java
@@ -1,6 +1,7 @@
 package org.damaskmoor.core.upstream;
 
 import java.util.Objects;
+import org.damaskmoor.core.hash.StableHash;
 import org.damaskmoor.core.id.ServiceName;
 
 /**
@@ -51,4 +52,9 @@
     public boolean isSameIncarnation(UpstreamAnnouncement other) {
         return id.equals(other.id) && startEpochMilliseconds == other.startEpochMilliseconds;
     }
+
+    /** Digest of the incarnation; equal on all nodes, different for each incarnation. */
+    public long incarnationDigest() {
+        return StableHash.combine(StableHash.of(id.value()), startEpochMilliseconds);
+    }
 }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
@@ -25,6 +25,7 @@
 import org.damaskmoor.relay.internal.fleet.ConfigurationHolder;
 import org.damaskmoor.relay.internal.fleet.DepartureRecords;
 import org.damaskmoor.relay.internal.fleet.FleetDirectory;
+import org.damaskmoor.relay.internal.fleet.LeavingUpstreams;
 import org.damaskmoor.relay.internal.fleet.OwnRecordPublisher;
 import org.damaskmoor.relay.internal.fleet.TableWatch;
 import org.damaskmoor.relay.internal.link.EntryId;
@@ -200,7 +201,8 @@
                 settings.dataCentre(),
                 (node, address) -> dialer.link(node, address, listener),
                 timers,
-                log);
+                log,
+                new LeavingUpstreams(log));
     }
 
     private EntryRequestHandler createEntry() {
--- a/relay/src/main/java/org/damaskmoor/relay/internal/fleet/FleetDirectory.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/FleetDirectory.java
@@ -40,6 +40,7 @@
     private final LinkFactory linkFactory;
     private final Timers timers;
     private final EventLog log;
+    private final LeavingUpstreams leavingUpstreams;
     private final Map<NodeId, FleetTarget> targets = new HashMap<>();
     private final Map<ServiceName, List<FleetTarget>> byService = new HashMap<>();
     private final Set<NodeId> storedNodes = new HashSet<>();
@@ -59,19 +60,21 @@
             DataCentreName dataCentre,
             LinkFactory linkFactory,
             Timers timers,
-            EventLog log) {
+            EventLog log,
+            LeavingUpstreams leavingUpstreams) {
         this.self = self;
         this.region = region;
         this.dataCentre = dataCentre;
         this.linkFactory = linkFactory;
         this.timers = timers;
         this.log = log;
+        this.leavingUpstreams = leavingUpstreams;
     }
 
     /** Adds this node. */
     public void addSelf(FleetMember member, CallLink link) {
         TargetEstimate estimate = new TargetEstimate(Proximity.SELF, 1, timers.now());
-        put(new FleetTarget(self, member, estimate, link));
+        put(new FleetTarget(self, member, estimate, link, leavingUpstreams));
     }
 
     /** All nodes, including this one. */
@@ -226,7 +229,7 @@
         CallLink link = linkFactory.link(node, address.get());
         TargetEstimate estimate =
                 new TargetEstimate(proximity(member), member.getSlots(), timers.now());
-        put(new FleetTarget(node, member, estimate, link));
+        put(new FleetTarget(node, member, estimate, link, leavingUpstreams));
         log.event("member-added")
                 .with("node", node)
                 .with("service", member.getService())
--- a/relay/src/main/java/org/damaskmoor/relay/internal/fleet/FleetTarget.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/FleetTarget.java
@@ -18,12 +18,19 @@
     private final NodeId node;
     private final TargetEstimate estimate;
     private final CallLink link;
+    private final LeavingUpstreams leavingUpstreams;
     private final long digest;
     private FleetMember member;
     private UpstreamState state = UpstreamState.SERVING;
     private OptionalDouble heardLimitPerSecond = OptionalDouble.empty();
 
-    FleetTarget(NodeId node, FleetMember member, TargetEstimate estimate, CallLink link) {
+    FleetTarget(
+            NodeId node,
+            FleetMember member,
+            TargetEstimate estimate,
+            CallLink link,
+            LeavingUpstreams leavingUpstreams) {
+        this.leavingUpstreams = leavingUpstreams;
         this.node = node;
         this.member = member;
         this.digest =
@@ -79,9 +86,20 @@
         return heardLimitPerSecond;
     }
 
+    /** The state that counts: a target that was restarted may not know that its upstream leaves. */
+    private UpstreamState stateOf(TargetLoad load) {
+        if (load.getUpstreamLeaving()) {
+            leavingUpstreams.add(load.getUpstreamDigest());
+        }
+        boolean leaves =
+                load.getState() == UpstreamState.SERVING
+                        && leavingUpstreams.contains(load.getUpstreamDigest());
+        return leaves ? UpstreamState.LEAVING : load.getState();
+    }
+
     /** Records a load report of the target. */
     public void updateLoad(TargetLoad load, long now) {
-        state = load.getState();
+        state = stateOf(load);
         OptionalDouble limitPerSecond =
                 load.hasLimitPerSecond()
                         ? OptionalDouble.of(load.getLimitPerSecond())
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetLoadReporter.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetLoadReporter.java
@@ -44,6 +44,10 @@
             load.setLimitPerSecond(pacer.limitPerSecond().getAsDouble())
                     .setStartDelayMilliseconds((int) Math.ceil(delay));
         }
+        if (tracker.current().isPresent()) {
+            load.setUpstreamDigest(tracker.current().get().incarnationDigest())
+                    .setUpstreamLeaving(tracker.isLeaving());
+        }
         if (detector.hasReading()) {
             load.setSlownessPercent((int) Math.round(detector.lastReading() * PERCENT))
                     .setSteadySlownessPercent((int) Math.round(detector.baseline() * PERCENT))
--- a/relay/src/test/java/org/damaskmoor/relay/LeavingUpstreamTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/LeavingUpstreamTest.java
@@ -4,6 +4,7 @@
 
 import java.util.concurrent.TimeUnit;
 import org.damaskmoor.platform.standin.RawCaller;
+import org.damaskmoor.platform.standin.StoreStandIn;
 import org.damaskmoor.platform.standin.UpstreamStandIn;
 import org.damaskmoor.relay.fixture.InProcessRelay;
 import org.damaskmoor.relay.fixture.TestFleet;
@@ -79,6 +80,34 @@
         TestFleet.await(() -> send(entry, "again") == 200);
     }
 
+    @Test
+    void should_not_send_to_a_leaving_upstream_whose_node_forgot_it_in_a_restart()
+            throws Exception {
+        // given
+        upstream.sayLeaving();
+        assertThat(send(entry, "told")).isEqualTo(200);
+        final long toldAt = System.nanoTime();
+        upstream.clearNotice();
+        fleet.store.setMode(StoreStandIn.Mode.UNAVAILABLE);
+        target.kill();
+
+        // when
+        try (InProcessRelay restarted = fleet.restartWithoutStore(target, upstream, entry)) {
+            restarted.announce("i-1", 100, 9, "ready");
+            sendUntil(toldAt + TimeUnit.MILLISECONDS.toNanos(DRAIN_MILLISECONDS + 3000));
+
+            // then
+            assertThat(send(restarted, "unaware")).isEqualTo(200);
+            assertThat(receivedAfterDrain(toldAt)).isEqualTo(1);
+
+            // when
+            restarted.announce("i-2", 200, 1, "ready");
+
+            // then
+            TestFleet.await(() -> send(entry, "again") == 200);
+        }
+    }
+
     private void sendUntil(long end) throws Exception {
         for (int i = 0; System.nanoTime() < end; i++) {
             assertThat(send(entry, "r" + i)).isAnyOf(200, 503);
--- a/relay/src/test/java/org/damaskmoor/relay/internal/StoreReaderSuccessionTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/internal/StoreReaderSuccessionTest.java
@@ -19,6 +19,7 @@
 import org.damaskmoor.relay.fixture.SilentLog;
 import org.damaskmoor.relay.internal.fleet.ConfigurationHolder;
 import org.damaskmoor.relay.internal.fleet.FleetDirectory;
+import org.damaskmoor.relay.internal.fleet.LeavingUpstreams;
 import org.damaskmoor.relay.internal.link.CallLink;
 import org.damaskmoor.relay.internal.log.EventLog;
 import org.damaskmoor.schema.link.CallCancel;
@@ -58,7 +59,8 @@
                         new DataCentreName("home-1"),
                         (node, address) -> links.computeIfAbsent(node, key -> new RecordingLink()),
                         timers,
-                        log);
+                        log,
+                        new LeavingUpstreams(log));
         fleet.addSelf(member(self), new RecordingLink());
         fleet.onSnapshot(List.of(row(reader), row(successor), row(self)));
         ConfigurationHolder configuration = new ConfigurationHolder(log, table -> {});
