--- a/relay/src/main/java/org/damaskmoor/relay/internal/fleet/TableWatch.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/TableWatch.java
@@ -170,6 +170,12 @@
             read(rows.get(rows.size() - 1).key() + '\0', rows);
             return;
         }
+        log.event("table-read")
+                .with("table", table)
+                .with("rows", rows.size())
+                .with("version", page.version())
+                .with("era", page.era())
+                .write();
         reportSnapshot(rows);
         long delay = Math.min(pollPolicy.pollDelayMilliseconds(), MAX_FIRST_DELAY_MILLISECONDS);
         delay(delay, () -> watch(page.version()));
--- a/relay/src/test/java/org/damaskmoor/relay/internal/fleet/TableWatchTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/internal/fleet/TableWatchTest.java
@@ -18,7 +18,7 @@
 
 class TableWatchTest {
     private static final long POLL_DELAY_MILLISECONDS = 100;
-    private static final RowPage NO_CHANGES = new RowPage(List.of(), false, 1);
+    private static final RowPage NO_CHANGES = new RowPage(List.of(), false, 1, 0);
 
     private final ManualTimers timers = new ManualTimers();
     private final WaitingStore store = new WaitingStore();
