Soak: upstreams that name a limit, stores that return from an older copy

Two kinds of fault with plans of their own beside the former ones, so that each seed keeps the faults that it had, and a checker for what upstreams say in their answers: OVER_LIMIT and CALLED_AFTER_NOTICE, for relays that have passed on such an answer and weren't disturbed since. Draining upstreams now also say in their answers that they leave.

--- a/soak/src/main/java/org/damaskmoor/soak/FaultExecutor.java
+++ b/soak/src/main/java/org/damaskmoor/soak/FaultExecutor.java
@@ -36,6 +36,11 @@
 
     private static final long READY_TIMEOUT_MILLISECONDS = 15_000;
 
+    private static final double LIMIT_PER_SECOND = 6;
+
+    /** Least time for which a limit is named; the guarantee holds after 4 s. */
+    private static final long MIN_LIMIT_MILLISECONDS = 6000;
+
     private final SoakSite site;
     private final DisturbanceLog disturbances;
     private final LongSupplier clock;
@@ -90,8 +95,13 @@
     private static String component(PlannedFault fault, int relay) {
         return switch (fault.kind()) {
             case KILL_RELAY, PAUSE_RELAY, STOP_RELAY, RELOAD_RELAY -> "relay-" + relay;
-            case KILL_UPSTREAM, FREEZE_UPSTREAM, DRAIN_UPSTREAM -> "upstream-" + relay;
-            case STORE_UNAVAILABLE, STORE_SILENT, STORE_LOSES_ANSWERS, STORE_FORGETS_HISTORY ->
+            case KILL_UPSTREAM, FREEZE_UPSTREAM, DRAIN_UPSTREAM, LIMIT_UPSTREAM ->
+                    "upstream-" + relay;
+            case STORE_UNAVAILABLE,
+                    STORE_SILENT,
+                    STORE_LOSES_ANSWERS,
+                    STORE_FORGETS_HISTORY,
+                    RESTORE_STORE ->
                     "store";
             case DELAY_LINKS, RESET_LINKS, CUT_LINKS_ONE_WAY, SILENCE_LINKS -> "links-" + relay;
             case RESET_STORE_LINK, SILENCE_STORE_LINK -> "store-link-" + relay;
@@ -130,6 +140,11 @@
             case STORE_LOSES_ANSWERS ->
                     () -> disturbStore(StoreStandIn.Mode.ANSWERS_LOST, duration);
             case STORE_FORGETS_HISTORY -> () -> site.store().compact();
+            case RESTORE_STORE -> () -> restoreStore(duration);
+            case LIMIT_UPSTREAM ->
+                    () ->
+                            node.upstream()
+                                    .nameLimit(LIMIT_PER_SECOND, MIN_LIMIT_MILLISECONDS + duration);
             case DELAY_LINKS -> () -> disturb(node.linkProxy(), Mode.DELAY, LINKS, relay, duration);
             case RESET_LINKS -> () -> disturb(node.linkProxy(), Mode.RESET, LINKS, relay, duration);
             case CUT_LINKS_ONE_WAY ->
@@ -239,6 +254,16 @@
         node.upstream().start();
     }
 
+    private void restoreStore(long duration) throws InterruptedException {
+        LongConsumer end = disturbances.begin(Component.STORE, 0, clock.getAsLong());
+        StoreStandIn.Copy copy = site.olderCopy();
+        site.store().setMode(StoreStandIn.Mode.UNAVAILABLE);
+        Thread.sleep(duration);
+        site.store().restore(copy);
+        site.store().setMode(StoreStandIn.Mode.NORMAL);
+        end.accept(clock.getAsLong());
+    }
+
     private void disturbStore(StoreStandIn.Mode mode, long duration) throws InterruptedException {
         LongConsumer end = disturbances.begin(Component.STORE, 0, clock.getAsLong());
         site.store().setMode(mode);
--- a/soak/src/main/java/org/damaskmoor/soak/SoakRun.java
+++ b/soak/src/main/java/org/damaskmoor/soak/SoakRun.java
@@ -15,6 +15,7 @@
 import org.damaskmoor.soak.verification.DisturbanceLog;
 import org.damaskmoor.soak.verification.Exchange;
 import org.damaskmoor.soak.verification.GuaranteeChecker;
+import org.damaskmoor.soak.verification.NoticeChecker;
 import org.damaskmoor.soak.verification.RunLedger;
 
 /**
@@ -64,7 +65,8 @@
             injectFaults(
                     site,
                     executor,
-                    new FaultPlanner(random.split()).plan(loadMilliseconds),
+                    new FaultPlanner(random.split(), new SplittableRandom(~seed))
+                            .plan(loadMilliseconds),
                     random);
             violations.addAll(executor.awaitAll());
             violations.addAll(unrecoveredRelays(site, exchanges));
@@ -75,6 +77,10 @@
             GuaranteeChecker checker = new GuaranteeChecker(disturbances, ledger);
             violations.addAll(checker.violations(exchanges));
             violations.addAll(checker.staleRoutes(exchanges, site.storedAt(), site.readyAt()));
+            NoticeChecker noticeChecker = new NoticeChecker(disturbances, ledger);
+            for (SoakSite.Node node : site.nodes()) {
+                violations.addAll(noticeChecker.violations(exchanges, node.upstream().notices()));
+            }
             site.nodes()
                     .forEach(
                             node ->
--- a/soak/src/main/java/org/damaskmoor/soak/SoakSite.java
+++ b/soak/src/main/java/org/damaskmoor/soak/SoakSite.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,6 +26,10 @@
  */
 final class SoakSite implements AutoCloseable {
     private static final int REGIONS = 2;
+
+    /** Copies of the store that are kept, one for each change of the configuration. */
+    private static final int MAX_COPIES = 5;
+
     private static final long STARTUP_TIMEOUT_MILLISECONDS = 20_000;
     private static final long POLL_MILLISECONDS = 50;
 
@@ -44,6 +50,7 @@
     private final List<Node> nodes = new ArrayList<>();
     private final Map<Integer, NavigableSet<Long>> readyAt = new HashMap<>();
     private final Map<Integer, Long> storedAt = new ConcurrentHashMap<>();
+    private final Deque<StoreStandIn.Copy> copies = new ArrayDeque<>();
     private int version;
 
     SoakSite(
@@ -145,10 +152,19 @@
             routes.append(',')
                     .append(ConfigurationJson.route("v" + i, "/v" + i + "/", "idempotent"));
         }
+        copies.addLast(store.copy());
+        if (copies.size() > MAX_COPIES) {
+            copies.removeFirst();
+        }
         store.putConfiguration(ConfigurationJson.of(version, routes.toString()));
         storedAt.put(version, clock.getAsLong());
     }
 
+    /** Returns a copy of the store from some changes of the configuration ago. */
+    synchronized StoreStandIn.Copy olderCopy() {
+        return copies.getFirst();
+    }
+
     /** Returns the newest version in the store. */
     synchronized int version() {
         return version;
--- a/soak/src/main/java/org/damaskmoor/soak/SoakUpstream.java
+++ b/soak/src/main/java/org/damaskmoor/soak/SoakUpstream.java
@@ -2,8 +2,10 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.LongSupplier;
@@ -11,6 +13,7 @@
 import org.damaskmoor.platform.standin.UpstreamStandIn;
 import org.damaskmoor.platform.standin.UpstreamStandIn.Connection;
 import org.damaskmoor.platform.standin.UpstreamStandIn.Request;
+import org.damaskmoor.soak.verification.Notice;
 import org.damaskmoor.soak.verification.RunLedger;
 
 /**
@@ -32,6 +35,7 @@
     private final InetSocketAddress announcements;
     private final RunLedger ledger;
     private final LongSupplier clock;
+    private final List<Notice> notices = new CopyOnWriteArrayList<>();
     private final Map<String, Long> drainAcknowledgedAt = new ConcurrentHashMap<>();
     private final Object freezeLock = new Object();
     private volatile Incarnation current;
@@ -92,10 +96,35 @@
     void startDraining() {
         Incarnation draining = current;
         if (draining != null) {
+            draining.server().sayLeaving();
+            notices.add(Notice.leaving(draining.id(), clock.getAsLong()));
             drainAcknowledgedAt.putIfAbsent(draining.id(), Long.MAX_VALUE / 2);
         }
     }
 
+    /**
+     * Names a request limit in all answers of the current incarnation for the given time, unless it
+     * is draining.
+     */
+    void nameLimit(double requestsPerSecond, long milliseconds) throws InterruptedException {
+        Incarnation limited = current;
+        if (limited == null || drainAcknowledgedAt.containsKey(limited.id())) {
+            return;
+        }
+        long from = clock.getAsLong();
+        limited.server().nameLimit(Double.toString(requestsPerSecond));
+        Thread.sleep(milliseconds);
+        if (limited.equals(current)) {
+            notices.add(Notice.limit(limited.id(), requestsPerSecond, from, clock.getAsLong()));
+            limited.server().clearNotice();
+        }
+    }
+
+    /** Returns what the upstream has said in its answers. */
+    List<Notice> notices() {
+        return notices;
+    }
+
     /**
      * Returns when the relay acknowledged the draining announcement, by incarnation; half of the
      * maximum long value until then.
@@ -117,7 +146,7 @@
                     ThreadLocalRandom.current()
                             .nextLong(MINIMUM_SERVICE_MILLISECONDS, MAXIMUM_SERVICE_MILLISECONDS));
             awaitUnfrozen();
-            UpstreamStandIn.answerOk(request, connection);
+            self.server().answerWithNotice(request, connection);
         } finally {
             self.slots().release();
         }
--- a/soak/src/main/java/org/damaskmoor/soak/fault/FaultKind.java
+++ b/soak/src/main/java/org/damaskmoor/soak/fault/FaultKind.java
@@ -1,5 +1,8 @@
 package org.damaskmoor.soak.fault;
 
+import java.util.EnumSet;
+import java.util.List;
+
 /** The kinds of fault that a soak run can inject. */
 public enum FaultKind {
     KILL_RELAY,
@@ -22,5 +25,15 @@
     RESET_UPSTREAM_LINK,
     CUT_UPSTREAM_LINK_ONE_WAY,
     RESET_CALLERS,
-    DELAY_CALLERS
+    DELAY_CALLERS,
+    LIMIT_UPSTREAM,
+    RESTORE_STORE;
+
+    /** Kinds of the plan that each seed had first; its faults stay the same. */
+    static final List<FaultKind> FIRST_KINDS =
+            List.copyOf(EnumSet.range(KILL_RELAY, DELAY_CALLERS));
+
+    /** Kinds that are planned beside the first ones. */
+    static final List<FaultKind> LATER_KINDS =
+            List.copyOf(EnumSet.range(LIMIT_UPSTREAM, RESTORE_STORE));
 }
--- a/soak/src/main/java/org/damaskmoor/soak/fault/FaultPlanner.java
+++ b/soak/src/main/java/org/damaskmoor/soak/fault/FaultPlanner.java
@@ -12,15 +12,24 @@
  */
 public final class FaultPlanner {
     private static final double MEAN_SERIES_INTERVAL_MILLISECONDS = 2000;
+    private static final double MEAN_LATER_INTERVAL_MILLISECONDS = 6000;
     private static final int MAXIMUM_SERIES_LENGTH = 4;
     private static final long SERIES_WINDOW_MILLISECONDS = 900;
     private static final double MINIMUM_DURATION_MILLISECONDS = 100;
     private static final double MAXIMUM_DURATION_MILLISECONDS = 5000;
 
     private final RandomGenerator random;
+    private final RandomGenerator laterRandom;
 
-    public FaultPlanner(RandomGenerator random) {
+    /**
+     * Creates a planner.
+     *
+     * @param random for the first kinds of fault
+     * @param laterRandom for the kinds added later, so that seeds keep the plan that they had
+     */
+    public FaultPlanner(RandomGenerator random, RandomGenerator laterRandom) {
         this.random = random;
+        this.laterRandom = laterRandom;
     }
 
     /** Returns the faults for a load of the given length, ordered by start time. */
@@ -30,21 +39,26 @@
         while (start < milliseconds) {
             int count = 1 + random.nextInt(MAXIMUM_SERIES_LENGTH);
             for (int i = 0; i < count; i++) {
-                faults.add(fault((long) start + random.nextLong(SERIES_WINDOW_MILLISECONDS)));
+                long at = (long) start + random.nextLong(SERIES_WINDOW_MILLISECONDS);
+                faults.add(fault(at, FaultKind.FIRST_KINDS, random));
             }
             start += random.nextExponential() * MEAN_SERIES_INTERVAL_MILLISECONDS;
         }
+        double later = laterRandom.nextExponential() * MEAN_LATER_INTERVAL_MILLISECONDS;
+        while (later < milliseconds) {
+            faults.add(fault((long) later, FaultKind.LATER_KINDS, laterRandom));
+            later += laterRandom.nextExponential() * MEAN_LATER_INTERVAL_MILLISECONDS;
+        }
         faults.sort(Comparator.comparingLong(PlannedFault::startMilliseconds));
         return faults;
     }
 
-    private PlannedFault fault(long start) {
-        FaultKind[] kinds = FaultKind.values();
+    private static PlannedFault fault(long start, List<FaultKind> kinds, RandomGenerator random) {
         double interval = Math.log(MAXIMUM_DURATION_MILLISECONDS / MINIMUM_DURATION_MILLISECONDS);
         long duration =
                 (long) (MINIMUM_DURATION_MILLISECONDS * Math.exp(random.nextDouble() * interval));
         return new PlannedFault(
-                kinds[random.nextInt(kinds.length)],
+                kinds.get(random.nextInt(kinds.size())),
                 random.nextInt(Integer.MAX_VALUE),
                 start,
                 duration);
--- a/soak/src/test/java/org/damaskmoor/soak/fault/FaultPlannerTest.java
+++ b/soak/src/test/java/org/damaskmoor/soak/fault/FaultPlannerTest.java
@@ -45,6 +45,7 @@
     }
 
     private static List<PlannedFault> plan(long seed) {
-        return new FaultPlanner(new SplittableRandom(seed)).plan(MINUTE_MILLISECONDS);
+        return new FaultPlanner(new SplittableRandom(seed), new SplittableRandom(~seed))
+                .plan(MINUTE_MILLISECONDS);
     }
 }
