--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetCallHandler.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetCallHandler.java
@@ -16,8 +16,6 @@
 import org.damaskmoor.core.quarantine.RequestFingerprint;
 import org.damaskmoor.core.queueing.AdmissionQueue;
 import org.damaskmoor.core.queueing.CallPacer;
-import org.damaskmoor.core.queueing.QueueDecision;
-import org.damaskmoor.core.queueing.SlowdownDetector;
 import org.damaskmoor.core.upstream.UpstreamAnnouncement;
 import org.damaskmoor.core.upstream.UpstreamId;
 import org.damaskmoor.core.upstream.UpstreamTracker;
@@ -50,11 +48,6 @@
      */
     private static final long RETENTION_MILLISECONDS = 30_000;
 
-    /** How often the queue is checked while calls wait in it. */
-    private static final long QUEUE_CHECK_INTERVAL_MILLISECONDS = 20;
-
-    private static final double PERCENT = 100;
-
     private final Incarnation incarnation;
     private final UpstreamTracker tracker;
     private final TargetLedger ledger;
@@ -69,7 +62,7 @@
     private final CallPacer pacer = new CallPacer();
     private final AdmissionQueue<TargetCall> queue = new AdmissionQueue<>(pacer);
     private final OpenCalls openCalls;
-    private boolean queueCheckScheduled;
+    private final CallAdmission admission;
 
     public TargetCallHandler(
             Incarnation incarnation,
@@ -100,8 +93,8 @@
                         new TokenBucket(checksPerSecond),
                         callbacks,
                         timers,
-                        this::offer,
-                        this::startQueuedCalls,
+                        call -> admission().offer(call),
+                        () -> admission().startQueuedCalls(),
                         notices);
         this.runner =
                 new CallRunner(
@@ -116,7 +109,22 @@
                         callbacks,
                         notices,
                         timers,
-                        this::startQueuedCalls);
+                        () -> admission().startQueuedCalls());
+        this.admission =
+                new CallAdmission(
+                        tracker,
+                        queue,
+                        pacer,
+                        openCalls,
+                        slownessProbe,
+                        runner,
+                        loadReporter,
+                        callbacks,
+                        timers);
+    }
+
+    private CallAdmission admission() {
+        return admission;
     }
 
     /** The upstream announced itself. */
@@ -219,7 +227,12 @@
                                 toNanoseconds(now))
                         .result();
         switch (acceptance) {
-            case ACCEPTED -> admit(received);
+            case ACCEPTED -> {
+                if (call.hasHeardLimitPerSecond()) {
+                    notices.onHearsay(call.getHeardLimitPerSecond());
+                }
+                admission.admit(received);
+            }
             case FULL -> replySender.sendRefusal(received, RefusalReason.NODE_BUSY, 0);
             case DEADLINE_PASSED ->
                     replySender.sendRefusal(received, RefusalReason.DEADLINE_PASSED, 0);
@@ -229,108 +242,6 @@
         }
     }
 
-    private void admit(TargetCall call) {
-        openCalls.add(call);
-        if (call.message.hasHeardLimitPerSecond()) {
-            notices.onHearsay(call.message.getHeardLimitPerSecond());
-        }
-        if (tracker.isDown() || !slownessProbe.deferUntilProbed(call)) {
-            offer(call);
-        }
-    }
-
-    private void offer(TargetCall call) {
-        if (!openCalls.contains(call)) {
-            return;
-        }
-        long now = timers.now();
-        SlowdownDetector detector = slownessProbe.slowdownDetector();
-        RefusalReason refusalReason = refusalReason(call);
-        if (refusalReason != null) {
-            openCalls.refuse(call, refusalReason, 0);
-            return;
-        }
-        boolean readingIsFresh = detector.isFresh(now);
-        double expectedSlowness = call.message.getExpectedSlownessPercent() / PERCENT;
-        double delay =
-                readingIsFresh
-                        ? detector.delayMilliseconds(
-                                call.message.getUsualMilliseconds(), expectedSlowness, now)
-                        : 0;
-        boolean mayStart = !(readingIsFresh && detector.isInSlowdown(now));
-        QueueDecision decision = queue.offer(call.toQueuedCall(), delay, mayStart, now);
-        queue.drainDisplaced()
-                .forEach(
-                        displaced ->
-                                openCalls.refuse(
-                                        displaced,
-                                        RefusalReason.QUEUE_FULL,
-                                        queue.retryAfterMilliseconds(now)));
-        switch (decision.kind()) {
-            case START -> runner.handOver(call);
-            case WAIT -> scheduleQueueCheck();
-            case SEND_BACK ->
-                    openCalls.refuse(
-                            call, RefusalReason.QUEUE_FULL, decision.retryAfterMilliseconds());
-            default ->
-                    throw new IllegalStateException(
-                            "unexpected decision of the admission queue: " + decision.kind());
-        }
-    }
-
-    /** The reason to refuse the call whatever the load is, or null. */
-    private RefusalReason refusalReason(TargetCall call) {
-        if (tracker.current().isEmpty() || tracker.isAwaitingHistory()) {
-            return RefusalReason.NO_UPSTREAM;
-        }
-        if (!tracker.current().get().service().value().equals(call.message.getService())) {
-            return RefusalReason.STALE_INCARNATION;
-        }
-        if (loadReporter.isStopping() || tracker.isLeaving()) {
-            return RefusalReason.DRAINING;
-        }
-        if (tracker.isDown()) {
-            return RefusalReason.UPSTREAM_UNREACHABLE;
-        }
-        return callbacks.isQuarantined(call.fingerprint()) ? RefusalReason.QUARANTINED : null;
-    }
-
-    private void startQueuedCalls() {
-        long now = timers.now();
-        queue.setLimit(runner.concurrencyLimit());
-        for (TargetCall expired : queue.removeExpired(now)) {
-            openCalls.refuse(
-                    expired, RefusalReason.DEADLINE_TOO_SHORT, queue.retryAfterMilliseconds(now));
-        }
-        if (queue.waiting() == 0 || queue.running() >= queue.limit() || tracker.isDown()) {
-            return;
-        }
-        if (slownessProbe.probeIfStale()) {
-            return;
-        }
-        if (!slownessProbe.slowdownDetector().isInSlowdown(now)) {
-            for (TargetCall next = queue.poll(now); next != null; next = queue.poll(now)) {
-                runner.handOver(next);
-            }
-        }
-    }
-
-    private void scheduleQueueCheck() {
-        if (queueCheckScheduled) {
-            return;
-        }
-        queueCheckScheduled = true;
-        timers.schedule(
-                QUEUE_CHECK_INTERVAL_MILLISECONDS,
-                () -> {
-                    queueCheckScheduled = false;
-                    startQueuedCalls();
-                    if (queue.waiting() > 0) {
-                        scheduleQueueCheck();
-                    }
-                });
-    }
-
     /**
      * Seals a call whose link was lost. A call that was not handed over never will be; the outcome
      * of any other is sent over the new link.
@@ -395,7 +306,7 @@
             queue.onAbandoned();
             ledger.failed(call.id);
             openCalls.remove(call);
-            startQueuedCalls();
+            admission.startQueuedCalls();
         }
     }
 
@@ -422,7 +333,7 @@
         @Override
         public void onUp() {
             callbacks.onUpstreamChanged();
-            startQueuedCalls();
+            admission.startQueuedCalls();
         }
     }
 
--- a/relay/src/test/java/org/damaskmoor/relay/UpstreamLimitTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/UpstreamLimitTest.java
@@ -149,6 +149,29 @@
         }
     }
 
+    @Test
+    void should_check_the_health_of_an_upstream_no_more_often_than_its_limit_lets_calls_start()
+            throws Exception {
+        // given
+        AtomicInteger checks = new AtomicInteger();
+        upstream.setHealthScript(
+                connection -> {
+                    checks.incrementAndGet();
+                    connection.send(
+                            "HTTP/1.1 200 OK\r\nInstance-Id: i-1\r\nServer-Load: 0,0,9,100\r\n"
+                                    + "Server-Limit: 2\r\nContent-Length: 0\r\n\r\n");
+                });
+        upstream.nameLimit("2");
+        send(entry, "first");
+        checks.set(0);
+
+        // when
+        sendFor(3000);
+
+        // then
+        assertThat(checks.get()).isAtMost(15);
+    }
+
     private List<RawCaller.Answer> sendFor(long milliseconds) throws Exception {
         List<Future<RawCaller.Answer>> pending = new ArrayList<>();
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(milliseconds);
