Ask the store for a configuration that the node which told of it does not send

A resting relay heard of version 9 in its heartbeats, and its requests to it got lost, again and again, for 3.5 s. The store was asked only by relays that wait there.

Construction of the reader and the flush at the end of a stop move out of RelayNode's longest methods.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/GracefulStop.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/GracefulStop.java
@@ -11,6 +11,9 @@
  * <p>Confined to the event loop.
  */
 final class GracefulStop {
+    /** Time to write the last replies before connections are closed. */
+    private static final long FLUSH_MILLISECONDS = 50;
+
     /** Time for the platform to notice that the node is not ready, and for callers to leave. */
     private static final long LEAVE_MILLISECONDS = 2600;
 
@@ -59,4 +62,11 @@
                 CHECK_INTERVAL_MILLISECONDS,
                 () -> check(rejectNewRequests, idle, rejectAt, endAt, ended));
     }
+
+    /** Completes when the last replies have had time to be written. */
+    CompletableFuture<Void> flushReplies() {
+        CompletableFuture<Void> written = new CompletableFuture<>();
+        timers.schedule(FLUSH_MILLISECONDS, () -> written.complete(null));
+        return written;
+    }
 }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/NodeStoreWatches.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/NodeStoreWatches.java
@@ -51,10 +51,10 @@
     }
 
     @Override
-    public void rereadIfWaiting() {
+    public void catchUp() {
         if (configuration.get().isWaiting()) {
-            configuration.get().rereadTable();
             members.get().rereadTable();
         }
+        configuration.get().catchUp();
     }
 }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
@@ -61,9 +61,6 @@
      */
     private static final long HISTORY_TIMEOUT_MILLISECONDS = 2000;
 
-    /** Time to write the last replies before connections are closed. */
-    private static final long FLUSH_MILLISECONDS = 50;
-
     private final RelaySettings settings;
     private final Timers timers;
     private final EventLog log;
@@ -105,17 +102,7 @@
         StoreEra storeEra = new StoreEra(log, this::onStoreRestored);
         RowStore store = new HttpRowStore(loop, settings.store(), storeEra::onEra);
         this.ownRecord = new OwnRecordPublisher(self, store, this.timers, random, log);
-        this.reader =
-                new StoreReaderCoordinator(
-                        self,
-                        fleet,
-                        configuration,
-                        storeEra,
-                        new NodeStoreWatches(
-                                this::configurationWatch, this::memberWatch, this::isStoreLost),
-                        this.timers,
-                        random,
-                        log);
+        this.reader = createReader(storeEra);
         this.departures =
                 new DepartureRecords(
                         self, settings.dataCentre(), store, reader::isReader, this.timers, log);
@@ -153,6 +140,14 @@
         metrics.gauge("configuration-version", this::configurationVersion);
     }
 
+    private StoreReaderCoordinator createReader(StoreEra storeEra) {
+        NodeStoreWatches watches =
+                new NodeStoreWatches(
+                        this::configurationWatch, this::memberWatch, this::isStoreLost);
+        return new StoreReaderCoordinator(
+                self, fleet, configuration, storeEra, watches, timers, random, log);
+    }
+
     private MemberTableListener createMemberListener() {
         return new MemberTableListener(
                 self, fleet, ownRecord, reader, departures, upstreamPublisher::restoreDeparture);
@@ -285,17 +280,10 @@
                                         && ports.callers().isIdle()
                                         && target.isIdle())
                 .thenRun(entry::finishAll)
-                .thenCompose(done -> flushReplies())
+                .thenCompose(done -> stop.flushReplies())
                 .thenRun(this::close);
     }
 
-    /** Completes when the last replies have had time to be written. */
-    private CompletableFuture<Void> flushReplies() {
-        CompletableFuture<Void> written = new CompletableFuture<>();
-        timers.schedule(FLUSH_MILLISECONDS, () -> written.complete(null));
-        return written;
-    }
-
     private void close() {
         memberWatch.stop();
         configurationWatch.stop();
--- a/relay/src/main/java/org/damaskmoor/relay/internal/StoreReaderCoordinator.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/StoreReaderCoordinator.java
@@ -135,10 +135,10 @@
         void rereadMembers();
 
         /**
-         * Reads both tables again if a call that waits for a change has not returned one that a
-         * peer already knows.
+         * A peer knows a configuration that this node has not got from the store: ends a pause, or
+         * reads both tables again if a call that waits for a change has not returned it.
          */
-        void rereadIfWaiting();
+        void catchUp();
     }
 
     StoreReaderCoordinator(
@@ -157,7 +157,7 @@
         this.configuration = configuration;
         this.requests =
                 new ConfigurationRequests(
-                        self, fleet, configuration, watches::rereadIfWaiting, timers, random);
+                        self, fleet, configuration, watches::catchUp, timers, random);
         this.storeEra = storeEra;
         this.watches = watches;
         this.timers = timers;
@@ -196,7 +196,7 @@
         }
         log.event("store-reader").with("reads", reader).write();
         if (reader && !isStoreAnswering()) {
-            watches.rereadIfWaiting();
+            watches.catchUp();
         }
         if (reader) {
             watches.pollNow();
--- a/relay/src/main/java/org/damaskmoor/relay/internal/fleet/TableWatch.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/TableWatch.java
@@ -132,6 +132,21 @@
         return pendingDelay.isEmpty() && !storeLost;
     }
 
+    /**
+     * Another node knows a change that this watch has not reported: ends a pause, or abandons a
+     * call that waits. Does nothing while the store is lost, since calls are repeated then anyway.
+     */
+    public void catchUp() {
+        if (storeLost) {
+            return;
+        }
+        if (pendingDelay.isPresent()) {
+            pollNow();
+        } else {
+            rereadTable();
+        }
+    }
+
     /** Abandons the current call, whose connection may have stalled, and reads the table again. */
     public void rereadTable() {
         log.event("store-asked-anew").with("table", table).write();
--- a/relay/src/test/java/org/damaskmoor/relay/internal/StoreReaderSuccessionTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/internal/StoreReaderSuccessionTest.java
@@ -190,7 +190,7 @@
         public void rereadMembers() {}
 
         @Override
-        public void rereadIfWaiting() {}
+        public void catchUp() {}
     }
 
     private static final class RecordingLink implements CallLink {
--- a/relay/src/test/java/org/damaskmoor/relay/internal/fleet/TableWatchTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/internal/fleet/TableWatchTest.java
@@ -80,6 +80,28 @@
         assertThat(store.waits).hasSize(2);
     }
 
+    @Test
+    void should_call_the_store_at_once_when_a_change_is_known_elsewhere_during_a_rest() {
+        // given
+        resting = true;
+        store.lastWait().complete(NO_CHANGES);
+
+        // when
+        watch.catchUp();
+
+        // then
+        assertThat(store.waits).hasSize(2);
+    }
+
+    @Test
+    void should_read_the_table_again_when_a_change_is_known_elsewhere_during_a_wait() {
+        // when
+        watch.catchUp();
+
+        // then
+        assertThat(store.reads).isEqualTo(2);
+    }
+
     @Test
     void should_read_the_table_again_when_the_store_was_restored_between_two_calls() {
         // given
