--- a/relay/src/test/java/org/damaskmoor/relay/UpstreamLimitTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/UpstreamLimitTest.java
@@ -120,7 +120,7 @@
 
         // when
         upstream.clearNotice();
-        Thread.sleep(2500);
+        TestFleet.await(() -> target.log().contains("event=upstream-notice limit=none"));
         List<RawCaller.Answer> unlimited = sendFor(1000);
 
         // then
