--- a/relay/src/main/java/org/damaskmoor/relay/internal/ConfigurationRequests.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/ConfigurationRequests.java
@@ -26,7 +26,7 @@
     private final NodeId self;
     private final FleetDirectory fleet;
     private final ConfigurationHolder configuration;
-    private final Runnable rereadStore;
+    private final Runnable catchUp;
     private final Timers timers;
     private final RandomGenerator random;
     private NodeId awaitedSender;
@@ -36,19 +36,19 @@
     /**
      * Creates an instance without requests.
      *
-     * @param rereadStore reads the store again if a call that waits for a change has missed one
+     * @param catchUp asks the store for a version that did not arrive in time
      */
     ConfigurationRequests(
             NodeId self,
             FleetDirectory fleet,
             ConfigurationHolder configuration,
-            Runnable rereadStore,
+            Runnable catchUp,
             Timers timers,
             RandomGenerator random) {
         this.self = self;
         this.fleet = fleet;
         this.configuration = configuration;
-        this.rereadStore = rereadStore;
+        this.catchUp = catchUp;
         this.timers = timers;
         this.random = random;
     }
@@ -83,7 +83,7 @@
         if (version > configuration.version()) {
             awaitedVersion = version;
             awaitedSince = timers.now();
-            rereadStore.run();
+            catchUp.run();
             request(sender);
         }
     }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/fleet/DepartureRecords.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/DepartureRecords.java
@@ -114,7 +114,7 @@
             return;
         }
         if (isInDataCentre(row)) {
-            timers.schedule(RETENTION_MILLISECONDS, () -> remove(row));
+            timers.schedule(RETENTION_MILLISECONDS, () -> remove(row, "departure-removed"));
         }
     }
 
@@ -124,7 +124,7 @@
      */
     public void removeReturned(StoredRow row) {
         if (isInDataCentre(row)) {
-            remove(row);
+            remove(row, "former-member-removed");
         }
     }
 
@@ -134,14 +134,14 @@
                 .orElse(false);
     }
 
-    private void remove(StoredRow row) {
+    private void remove(StoredRow row, String event) {
         if (!isReader.getAsBoolean()) {
             return;
         }
         store.remove(FleetDirectory.TABLE, row.key(), row.version())
                 .whenComplete(
                         (removed, failure) ->
-                                log.event("departure-removed")
+                                log.event(event)
                                         .with("key", row.key())
                                         .with("removed", failure == null && removed)
                                         .write());
