--- a/review/3/CaseResetLooksComplete.java
+++ b/review/3/CaseResetLooksComplete.java
@@ -8,8 +8,13 @@
 /** A backend answers before it has read a long body, without a length, and resets the connection. */
 final class CaseResetLooksComplete {
     private static final int DEADLINE = 8000;
-    private static final int BODY_BYTES = Integer.parseInt(System.getenv().getOrDefault("BODY", "16000000"));
-    private static final int REQUESTS = 20;
+    private static final int BODY_BYTES = 16_000_000;
+    private static final int REQUESTS = 200;
+
+    /** Every 50th answer of the faulty backend is broken off. */
+    private static final int BREAK_OFF_EACH = 50;
+
+    private static final AtomicInteger ANSWERS = new AtomicInteger();
 
     private CaseResetLooksComplete() {}
 
@@ -43,7 +48,8 @@
             relay.awaitReady();
         }
         Kit.sleep(4500);
-        AtomicInteger mixed = new AtomicInteger();
+        int mixed = 0;
+        int served = 0;
         for (int i = 0; i < REQUESTS; i++) {
             String id = "r" + i;
             try (Client client = new Client(kit, kit.ip(1))) {
@@ -53,14 +59,21 @@
                         + answer.header("server-stamp") + "' with a body of " + answer.body.length
                         + " bytes that looks complete");
                 boolean stamped = !answer.header("server-stamp").isEmpty();
+                if (answer.status() == 200) {
+                    served++;
+                }
                 if (stamped && answer.body.length != whole(id).length()) {
-                    mixed.incrementAndGet();
+                    mixed++;
                 }
             } catch (IOException failure) {
                 kit.record("client: " + id + " ended with " + failure);
             }
         }
-        return mixed.get() > 0 ? mixed + " answers that were cut look complete" : "";
+        kit.record("served " + served + ", cut and looking complete " + mixed);
+        if (served < REQUESTS / 2) {
+            throw new Kit.CannotRun("few requests were served: " + served);
+        }
+        return mixed > 0 ? mixed + " answers that were cut look complete" : "";
     }
 
     private static String whole(String id) {
@@ -80,7 +93,11 @@
                         + "\r\nConnection: close\r\n\r\n";
         connection.in().readNBytes(100_000);
         backend.kit.ran(backend, request);
-        if (backend.kit.trouble) {
+        boolean breakOff =
+                backend.kit.trouble
+                        && backend.id.equals("i-1")
+                        && ANSWERS.incrementAndGet() % BREAK_OFF_EACH == 0;
+        if (breakOff) {
             backend.send(connection, head + body.substring(0, body.length() / 2));
             Kit.sleep(100);
             backend.kit.record("backend " + backend.id + " resets the connection of " + id
