--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")"
 rm -rf target
 mkdir -p target
-javac -Xlint:-serial -d target harness/*.java */Case*.java
+javac -Xlint:-serial -d target harness/*.java */Case*.java extra/*.java
