--- a/review/extra/ExtraForgottenDeparture.java
+++ b/review/extra/ExtraForgottenDeparture.java
@@ -12,7 +12,7 @@
     private ExtraForgottenDeparture() {}
 
     public static void main(String[] arguments) throws Exception {
-        Kit.main(arguments[0], ExtraForgottenDeparture::run);
+        Kit.main(arguments, ExtraForgottenDeparture::run);
     }
 
     private static String run(Kit kit) throws Exception {
--- a/review/extra/ExtraManyBodies.java
+++ b/review/extra/ExtraManyBodies.java
@@ -16,7 +16,7 @@
     private ExtraManyBodies() {}
 
     public static void main(String[] arguments) throws Exception {
-        Kit.main(arguments[0], ExtraManyBodies::run);
+        Kit.main(arguments, ExtraManyBodies::run);
     }
 
     private static String run(Kit kit) throws Exception {
--- a/review/extra/ExtraStopCutsAnswers.java
+++ b/review/extra/ExtraStopCutsAnswers.java
@@ -16,7 +16,7 @@
     private ExtraStopCutsAnswers() {}
 
     public static void main(String[] arguments) throws Exception {
-        Kit.main(arguments[0], ExtraStopCutsAnswers::run);
+        Kit.main(arguments, ExtraStopCutsAnswers::run);
     }
 
     private static String run(Kit kit) throws Exception {
--- a/review/extra/ExtraUnusedAfterRollingStop.java
+++ b/review/extra/ExtraUnusedAfterRollingStop.java
@@ -11,7 +11,7 @@
     private ExtraUnusedAfterRollingStop() {}
 
     public static void main(String[] arguments) throws Exception {
-        Kit.main(arguments[0], ExtraUnusedAfterRollingStop::run);
+        Kit.main(arguments, ExtraUnusedAfterRollingStop::run);
     }
 
     private static String run(Kit kit) throws Exception {
--- a/review/harness/Backend.java
+++ b/review/harness/Backend.java
@@ -89,7 +89,7 @@
         return control(
                 "/v1/Instances.Heartbeat/" + id,
                 "{\"service\":\"" + service + "\",\"address\":\"" + ip + ":" + kit.appPort
-                        + "\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":" + slots
+                        + "\",\"zone\":\"zone-" + ip.substring(ip.lastIndexOf('.') + 1) + "\",\"version\":\"v1\",\"slots\":" + slots
                         + ",\"state\":\"" + state + "\",\"coldRemaining\":\"0ms\",\"seq\":" + sequence
                         + ",\"born\":" + born + "}");
     }
@@ -137,7 +137,14 @@
                             socket.getOutputStream());
             while (true) {
                 Http.Message request = Http.head(connection.in());
-                if (!early(connection, request)) {
+                String expected = request.header("expect-instance");
+                if (!expected.isEmpty() && !expected.equals(id)) {
+                    Http.body(connection.in(), request);
+                    send(
+                            connection,
+                            "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: " + id
+                                    + "\r\nContent-Length: 0\r\n\r\n");
+                } else if (!early(connection, request)) {
                     Http.body(connection.in(), request);
                     if (!behaviour.answer(this, connection, request)) {
                         return;
--- a/review/harness/Kit.java
+++ b/review/harness/Kit.java
@@ -4,6 +4,7 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
@@ -73,6 +74,7 @@
                     ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
             process = builder.start();
             processes.add(process);
+            Files.writeString(pidFile, process.pid() + "\n", StandardOpenOption.APPEND);
             record("relay " + name + " started, pid " + process.pid());
         }
 
@@ -124,6 +126,7 @@
 
     final Path root;
     final Path folder;
+    private final Path pidFile;
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     final int outboundPort;
     final int inboundPort;
@@ -140,10 +143,11 @@
     private final long startedAt = System.nanoTime();
     private final List<Process> processes = new ArrayList<>();
 
-    private Kit(Path caseFolder) throws IOException {
+    private Kit(Path recordFile, Path pidFile) throws IOException {
+        this.pidFile = pidFile;
         root = Path.of("").toAbsolutePath();
         folder = Files.createTempDirectory("damaskmoor-review");
-        record = new PrintWriter(Files.newBufferedWriter(caseFolder.resolve("record.txt")));
+        record = new PrintWriter(Files.newBufferedWriter(recordFile));
         Random random = new Random();
         network = "127." + (20 + random.nextInt(200)) + "." + random.nextInt(250) + ".";
         storeIp = network + "250";
@@ -172,11 +176,14 @@
         return ports;
     }
 
-    /** Runs a case and exits: 1 if the rule was broken, 0 if it held, 2 if it could not run. */
-    static void main(String caseFolder, Body body) throws IOException {
+    /**
+     * Runs a case; the arguments are the file of the record and the file for the process ids of
+     * the relays. Exits: 1 if the rule was broken, 0 if it held, 2 if it could not run.
+     */
+    static void main(String[] arguments, Body body) throws IOException {
         Kit kit;
         try {
-            kit = new Kit(Path.of(caseFolder));
+            kit = new Kit(Path.of(arguments[0]), Path.of(arguments[1]));
         } catch (IOException | RuntimeException failure) {
             System.err.println("The case could not run: " + failure);
             System.exit(2);
