--- a/review/3/CaseResetLooksComplete.java
+++ b/review/3/CaseResetLooksComplete.java
@@ -9,17 +9,22 @@
 final class CaseResetLooksComplete {
     private static final int DEADLINE = 8000;
     private static final int BODY_BYTES = 16_000_000;
-    private static final int REQUESTS = 200;
+    private static final int SECONDS = 8;
 
-    /** Every 50th answer of the faulty backend is broken off. */
-    private static final int BREAK_OFF_EACH = 50;
+    /** Every 20th answer of the faulty backend is broken off, for 5 s. */
+    private static final int BREAK_OFF_EACH = 20;
+
+    private static final long BREAK_OFF_FROM = 1000;
+    private static final long BREAK_OFF_UNTIL = 6000;
+
+    private static volatile long startedAt;
 
     private static final AtomicInteger ANSWERS = new AtomicInteger();
 
     private CaseResetLooksComplete() {}
 
     public static void main(String[] arguments) throws Exception {
-        Kit.main(arguments[0], CaseResetLooksComplete::run);
+        Kit.main(arguments, CaseResetLooksComplete::run);
     }
 
     private static String run(Kit kit) throws Exception {
@@ -50,7 +55,8 @@
         Kit.sleep(4500);
         int mixed = 0;
         int served = 0;
-        for (int i = 0; i < REQUESTS; i++) {
+        startedAt = System.nanoTime();
+        for (int i = 0; sinceStart() < SECONDS * 1000L; i++) {
             String id = "r" + i;
             try (Client client = new Client(kit, kit.ip(1))) {
                 client.send("POST", "/import/" + id, id, DEADLINE, new byte[BODY_BYTES]);
@@ -70,12 +76,16 @@
             }
         }
         kit.record("served " + served + ", cut and looking complete " + mixed);
-        if (served < REQUESTS / 2) {
+        if (served < 30) {
             throw new Kit.CannotRun("few requests were served: " + served);
         }
         return mixed > 0 ? mixed + " answers that were cut look complete" : "";
     }
 
+    private static long sinceStart() {
+        return (System.nanoTime() - startedAt) / 1_000_000;
+    }
+
     private static String whole(String id) {
         return ("rejected " + id + " ").repeat(200);
     }
@@ -96,6 +106,8 @@
         boolean breakOff =
                 backend.kit.trouble
                         && backend.id.equals("i-1")
+                        && sinceStart() >= BREAK_OFF_FROM
+                        && sinceStart() < BREAK_OFF_UNTIL
                         && ANSWERS.incrementAndGet() % BREAK_OFF_EACH == 0;
         if (breakOff) {
             backend.send(connection, head + body.substring(0, body.length() / 2));
