--- a/review/4/CaseClockBackDrain.java
+++ b/review/4/CaseClockBackDrain.java
@@ -13,7 +13,7 @@
     private CaseClockBackDrain() {}
 
     public static void main(String[] arguments) throws Exception {
-        Kit.main(arguments[0], CaseClockBackDrain::run);
+        Kit.main(arguments, CaseClockBackDrain::run);
     }
 
     private static String run(Kit kit) throws Exception {
