--- a/review/5/CaseSpoiledHeader.java
+++ b/review/5/CaseSpoiledHeader.java
@@ -8,12 +8,23 @@
     private static final int SLACK = 500;
     private static final int DEADLINE = 4000;
     private static final int CLIENTS = 24;
-    private static final int REQUESTS = 60;
+    private static final int SECONDS = 8;
+
+    /** When, in milliseconds after the first request, answers are spoiled: for 5 s. */
+    private static final long SPOIL_FROM = 1000;
+
+    private static final long SPOIL_UNTIL = 6000;
+
+    private static volatile long startedAt;
 
     private CaseSpoiledHeader() {}
 
+    private static long sinceStart() {
+        return startedAt == 0 ? 0 : (System.nanoTime() - startedAt) / 1_000_000;
+    }
+
     public static void main(String[] arguments) throws Exception {
-        Kit.main(arguments[0], CaseSpoiledHeader::run);
+        Kit.main(arguments, CaseSpoiledHeader::run);
     }
 
     private static String run(Kit kit) throws Exception {
@@ -39,7 +50,11 @@
                         kit.ran(server, request);
                         Kit.sleep(10);
                         boolean spoil =
-                                kit.trouble && faulty && count.incrementAndGet() % 50 == 0;
+                                kit.trouble
+                                        && faulty
+                                        && sinceStart() >= SPOIL_FROM
+                                        && sinceStart() < SPOIL_UNTIL
+                                        && count.incrementAndGet() % 50 == 0;
                         if (spoil) {
                             spoiled.incrementAndGet();
                             kit.record("answer to " + request.header("request-id") + " is spoiled");
@@ -58,6 +73,7 @@
             relay.awaitReady();
         }
         Kit.sleep(4000);
+        startedAt = System.nanoTime();
         AtomicInteger served = new AtomicInteger();
         AtomicInteger atTimeout = new AtomicInteger();
         AtomicInteger unanswered = new AtomicInteger();
@@ -74,7 +90,7 @@
         kit.record(
                 "spoiled " + spoiled + ", served " + served + ", unanswered at the timeout "
                         + atTimeout + ", still unanswered " + SLACK + " ms later " + unanswered);
-        if (served.get() < CLIENTS * REQUESTS / 2) {
+        if (served.get() < 500) {
             throw new Kit.CannotRun("few requests were served: " + served);
         }
         boolean broken = unanswered.get() >= 8 && 2 * unanswered.get() > atTimeout.get();
@@ -89,7 +105,7 @@
             AtomicInteger unanswered)
             throws Exception {
         Client client = new Client(kit, kit.ip(1 + number % 2));
-        for (int i = 0; i < REQUESTS; i++) {
+        for (int i = 0; sinceStart() < SECONDS * 1000L; i++) {
             String id = "r" + number + "-" + i;
             client.send("GET", "/read/" + id, id, DEADLINE, null);
             int status = client.status(TIMEOUT);
