Log which connection and which attempt an answer came from

The hypotheses on a failure that reached its caller as a success couldn't be told apart by the logs: an answer to another request was skipped without a line, call-answered did not say which connection carried the call, and an entry took the answer to an attempt that had ended without saying so.

- answer-skipped: the id and status of an answer that came in another request's place, with the connection.
- call-answered: connection, the calls it carried, answers skipped before.
One id twice on a connection shows here.
- request-ended: the attempt whose answer was forwarded; answer-after-end if its link had been lost before.

No decision changes. The lines are bounded by the log as all others are.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
@@ -141,10 +141,14 @@
     }
 
     void onAnswered(ForwardedAnswer received) {
-        SentAttempt attempt = end(received.getAttempt());
+        SentAttempt attempt = attempts.get(received.getAttempt());
         if (attempt == null) {
             return;
         }
+        if (attempt.isEnded()) {
+            replies.logAnswerAfterEnd(attempt, received);
+        }
+        attempt.end();
         boolean failed = received.getStatus() >= FIRST_SERVER_ERROR;
         attempt.target.estimate().onOutcome(failed, now());
         attempt.target.updateLoad(received.getLoad(), now());
--- a/relay/src/main/java/org/damaskmoor/relay/internal/entry/ExchangeReplySender.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/ExchangeReplySender.java
@@ -28,6 +28,9 @@
 
     private static final double JITTER_RANGE = 0.5;
 
+    /** Logged as the number of the attempt of a reply that forwards no answer. */
+    private static final int NO_ATTEMPT = 0;
+
     private final CallerRequest request;
     private final Route route;
     private final ServiceName service;
@@ -49,7 +52,7 @@
 
     /** Forwards an upstream's answer unchanged. */
     void sendAnswer(ForwardedAnswer answer, Collection<NodeId> triedNodes, int fullRefusals) {
-        log(answer.getStatus(), "answered", triedNodes, fullRefusals);
+        log(answer.getStatus(), "answered", answer.getAttempt(), triedNodes, fullRefusals);
         reply.accept(
                 new CallerReply(answer.getStatus(), answer.getHeadersList(), answer.getBody()));
     }
@@ -60,7 +63,7 @@
             long retryAfterMilliseconds,
             Collection<NodeId> triedNodes,
             int fullRefusals) {
-        log(SERVICE_UNAVAILABLE, reason.name(), triedNodes, fullRefusals);
+        log(SERVICE_UNAVAILABLE, reason.name(), NO_ATTEMPT, triedNodes, fullRefusals);
         context.metrics().count("refused", service.value() + "." + reason);
         double jitter = MIN_JITTER + JITTER_RANGE * context.random().nextDouble();
         long retryAfter = Math.max(1, Math.round(retryAfterMilliseconds * jitter));
@@ -72,7 +75,7 @@
             EntryAction.UnknownToCaller unknown, Collection<NodeId> triedNodes, int fullRefusals) {
         String step = unknown.step().wireName();
         int status = unknown.step() == UnknownOutcomeStep.DEADLINE ? GATEWAY_TIMEOUT : BAD_GATEWAY;
-        log(status, step, triedNodes, fullRefusals);
+        log(status, step, NO_ATTEMPT, triedNodes, fullRefusals);
         context.metrics().count("unknown", step);
         reply.accept(
                 CallerReply.ofText(
@@ -84,7 +87,23 @@
                                 + "."));
     }
 
-    private void log(int status, String outcome, Collection<NodeId> triedNodes, int fullRefusals) {
+    /** Logs an answer to an attempt that counted as ended because its link was lost. */
+    void logAnswerAfterEnd(SentAttempt attempt, ForwardedAnswer answer) {
+        context.log()
+                .event("answer-after-end")
+                .with("request", request.id())
+                .with("attempt", attempt.number)
+                .with("target", attempt.target.node())
+                .with("status", answer.getStatus())
+                .write();
+    }
+
+    private void log(
+            int status,
+            String outcome,
+            int answeredAttempt,
+            Collection<NodeId> triedNodes,
+            int fullRefusals) {
         long durationMilliseconds = context.timers().now() - request.arrivedAt();
         context.metrics().recordDuration("request." + service.value(), durationMilliseconds);
         context.log()
@@ -94,6 +113,7 @@
                 .with("service", service)
                 .with("status", status)
                 .with("outcome", outcome)
+                .with("attempt", answeredAttempt)
                 .with("sent_back", fullRefusals)
                 .with("took_ms", durationMilliseconds)
                 .with("usual_ms", Math.round(context.statistics().meanMilliseconds(route.name())))
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetCallHandler.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetCallHandler.java
@@ -86,7 +86,7 @@
         this.openCalls = new OpenCalls(ledger, replySender);
         this.notices = new UpstreamNotices(tracker, pacer, timers, log, this::onLeavingHeard);
         UpstreamConnectionPool pool =
-                new UpstreamConnectionPool(loop, upstream, maxAnswerBytes, timers);
+                new UpstreamConnectionPool(loop, upstream, maxAnswerBytes, timers, log);
         this.slownessProbe =
                 new SlownessProbe(
                         pool,
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetReplySender.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetReplySender.java
@@ -44,6 +44,9 @@
                 .with("usual_ms", call.message.getUsualMilliseconds())
                 .with("slowness", Math.round(call.slownessAtStart * PERCENT))
                 .with("running", call.runningAtStart)
+                .with("connection", answered.origin().localPort())
+                .with("connection_calls", answered.origin().calls())
+                .with("skipped", answered.origin().skippedAnswers())
                 .write();
         return ForwardedAnswer.newBuilder()
                 .setSequence(call.message.getSequence())
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnection.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnection.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.net.InetSocketAddress;
 import java.nio.channels.ClosedChannelException;
 import java.util.List;
 import java.util.Optional;
@@ -22,6 +23,7 @@
 import org.damaskmoor.platform.protocol.HeaderNames;
 import org.damaskmoor.platform.protocol.LoadDecoder;
 import org.damaskmoor.platform.protocol.NoticeDecoder;
+import org.damaskmoor.relay.internal.log.EventLog;
 import org.damaskmoor.relay.internal.net.ForwardedHeaders;
 import org.damaskmoor.schema.mesh.HeaderField;
 
@@ -54,6 +56,7 @@
     private final UpstreamConnectionPool pool;
     private final long maxAnswerBytes;
     private final BufferBudget<UpstreamConnection> budget;
+    private final EventLog log;
     private Channel channel;
     private Consumer<UpstreamOutcome> pendingOutcome;
     private String requestId = "";
@@ -62,6 +65,7 @@
     private HttpResponse head;
     private boolean skippingBody;
     private boolean healthChecking;
+    private int calls;
     private int skippedAnswers;
     private long skippedBytes;
     private ByteString.Output body;
@@ -72,10 +76,12 @@
             UpstreamConnectionPool pool,
             long maxAnswerBytes,
             BufferBudget<UpstreamConnection> budget,
+            EventLog log,
             long keepAliveMilliseconds) {
         this.pool = pool;
         this.maxAnswerBytes = maxAnswerBytes;
         this.budget = budget;
+        this.log = log;
         this.keepAliveMilliseconds = keepAliveMilliseconds;
     }
 
@@ -84,6 +90,7 @@
         requestId = callerRequestId;
         pendingOutcome = outcome;
         head = null;
+        calls++;
         skippedAnswers = 0;
         skippedBytes = 0;
         written = channel.writeAndFlush(request);
@@ -174,7 +181,10 @@
                         : requestId.equals(response.headers().get(HeaderNames.REQUEST_ID));
         skippingBody = interim || !(matchesRequest || isRefusalWithoutId(response));
         if (skippingBody) {
-            notReusable |= !interim;
+            if (!interim) {
+                notReusable = true;
+                logSkipped(response);
+            }
             skippedAnswers++;
             if (skippedAnswers > MAX_SKIPPED_ANSWERS) {
                 fail("the upstream sent more than " + MAX_SKIPPED_ANSWERS + " other answers");
@@ -184,6 +194,20 @@
         }
     }
 
+    private void logSkipped(HttpResponse response) {
+        log.event("answer-skipped")
+                .with("request", requestId)
+                .with("id", response.headers().get(HeaderNames.REQUEST_ID, ""))
+                .with("status", response.status().code())
+                .with("connection", localPort())
+                .with("connection_calls", calls)
+                .write();
+    }
+
+    private int localPort() {
+        return ((InetSocketAddress) channel.localAddress()).getPort();
+    }
+
     private void fail(String detail) {
         head = null;
         end(new UpstreamOutcome.Failed(detail));
@@ -307,7 +331,11 @@
         UpstreamReport.Source source =
                 healthChecking ? UpstreamReport.Source.HEALTH_CHECK : UpstreamReport.Source.ANSWER;
         return new UpstreamOutcome.Answered(
-                status, headers, body.toByteString(), report(response, source));
+                status,
+                headers,
+                body.toByteString(),
+                report(response, source),
+                new AnswerOrigin(localPort(), calls, skippedAnswers));
     }
 
     private static UpstreamReport report(HttpResponse response, UpstreamReport.Source source) {
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnectionPool.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnectionPool.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.damaskmoor.core.buffer.BufferBudget;
+import org.damaskmoor.relay.internal.log.EventLog;
 import org.damaskmoor.relay.internal.time.Timers;
 import org.damaskmoor.schema.link.ForwardedCall;
 
@@ -57,16 +58,22 @@
 
     private final InetSocketAddress address;
     private final Timers timers;
+    private final EventLog log;
     private final Bootstrap bootstrap;
     private final ArrayDeque<UpstreamConnection> idle = new ArrayDeque<>();
     private final long maxAnswerBytes;
     private final BufferBudget<UpstreamConnection> budget = new BufferBudget<>(MAX_BUFFERED_BYTES);
 
     UpstreamConnectionPool(
-            EventLoop loop, InetSocketAddress address, long maxAnswerBytes, Timers timers) {
+            EventLoop loop,
+            InetSocketAddress address,
+            long maxAnswerBytes,
+            Timers timers,
+            EventLog log) {
         this.address = address;
         this.maxAnswerBytes = maxAnswerBytes;
         this.timers = timers;
+        this.log = log;
         this.bootstrap =
                 new Bootstrap()
                         .group(loop)
@@ -179,7 +186,7 @@
     private void initialize(Channel channel) {
         UpstreamConnection connection =
                 new UpstreamConnection(
-                        this, maxAnswerBytes, budget, DEFAULT_KEEP_ALIVE_MILLISECONDS);
+                        this, maxAnswerBytes, budget, log, DEFAULT_KEEP_ALIVE_MILLISECONDS);
         channel.pipeline()
                 .addLast(
                         new HttpClientCodec(
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamOutcome.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamOutcome.java
@@ -7,7 +7,12 @@
 /** The outcome of a call that was sent to the upstream. Immutable and thread-safe. */
 sealed interface UpstreamOutcome {
     /** The upstream sent a complete answer. */
-    record Answered(int status, List<HeaderField> headers, ByteString body, UpstreamReport report)
+    record Answered(
+            int status,
+            List<HeaderField> headers,
+            ByteString body,
+            UpstreamReport report,
+            AnswerOrigin origin)
             implements UpstreamOutcome {}
 
     /** The upstream certainly did not run the call. */
