Don't keep bytes that belong to no call on a connection to the upstream

Cause: an upstream may send a second answer late, and may break it off. Whether a connection had received anything between two calls was judged by decoded messages. A part of a head is no message, so the connection stayed in the pool with that part in its decoder, and the answer to the next call continued it: status line of the second answer, id and body of the next one.

Now bytes count, not messages: the decoder takes none while no answer is awaited, and a connection with bytes behind the answer is not used again. It is closed, with event=bytes-unexpected. The decoder also knows the method of the request itself: a second answer no longer takes the place of a HEAD request in a queue of methods.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnection.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -20,6 +21,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.damaskmoor.core.buffer.BufferBudget;
+import org.damaskmoor.platform.http.ResponseDecoder;
 import org.damaskmoor.platform.protocol.HeaderNames;
 import org.damaskmoor.platform.protocol.LoadDecoder;
 import org.damaskmoor.platform.protocol.NoticeDecoder;
@@ -38,8 +40,8 @@
  * <p>Confined to the event loop. Invariants: a call has one outcome; the body of an answer is at
  * most {@code maxAnswerBytes} long, and so are the skipped bodies of a call together; an answer
  * that ends with its connection is complete only if the upstream ended it; a connection brings at
- * most one refusal without an id, which ends it; after an unsolicited answer, unreadable bytes, or
- * an answer before the request was sent in full, the connection is not reused.
+ * most one refusal without an id, which ends it; after bytes that belong to no call, unreadable
+ * bytes, or an answer before the request was sent in full, the connection is not reused.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
     private static final int MISDIRECTED_REQUEST = 421;
@@ -54,6 +56,7 @@
     private static final long MAX_HEALTH_ANSWER_BYTES = 64 * 1024;
 
     private final UpstreamConnectionPool pool;
+    private final ResponseDecoder decoder;
     private final long maxAnswerBytes;
     private final BufferBudget<UpstreamConnection> budget;
     private final EventLog log;
@@ -74,17 +77,24 @@
 
     UpstreamConnection(
             UpstreamConnectionPool pool,
+            HttpDecoderConfig decoding,
             long maxAnswerBytes,
             BufferBudget<UpstreamConnection> budget,
             EventLog log,
             long keepAliveMilliseconds) {
         this.pool = pool;
+        this.decoder = new ResponseDecoder(decoding, this::onUnexpectedBytes);
         this.maxAnswerBytes = maxAnswerBytes;
         this.budget = budget;
         this.log = log;
         this.keepAliveMilliseconds = keepAliveMilliseconds;
     }
 
+    /** The decoder of this connection, which comes before it in the pipeline. */
+    ResponseDecoder decoder() {
+        return decoder;
+    }
+
     /** Sends a call; the outcome is reported once. */
     void send(String callerRequestId, FullHttpRequest request, Consumer<UpstreamOutcome> outcome) {
         requestId = callerRequestId;
@@ -93,6 +103,7 @@
         calls++;
         skippedAnswers = 0;
         skippedBytes = 0;
+        decoder.await(request.method());
         written = channel.writeAndFlush(request);
     }
 
@@ -114,6 +125,8 @@
     /** Abandons the current call and closes the connection. */
     void abandon() {
         pendingOutcome = null;
+        notReusable = true;
+        decoder.endAwaiting();
         releaseBuffer();
         channel.close();
     }
@@ -166,12 +179,19 @@
         }
     }
 
-    private void onHead(HttpResponse response) {
-        if (pendingOutcome == null) {
+    private void onUnexpectedBytes() {
+        if (!notReusable) {
             notReusable = true;
-            channel.close();
-            return;
+            log.event("bytes-unexpected")
+                    .with("after", requestId)
+                    .with("connection", localPort())
+                    .with("connection_calls", calls)
+                    .write();
         }
+        channel.close();
+    }
+
+    private void onHead(HttpResponse response) {
         head = response;
         body = ByteString.newOutput();
         boolean interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
@@ -357,6 +377,9 @@
         if (outcome instanceof UpstreamOutcome.Failed) {
             notReusable = true;
         }
+        if (!decoder.endAwaiting()) {
+            onUnexpectedBytes();
+        }
         if (notReusable) {
             channel.close();
         } else {
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnectionPool.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnectionPool.java
@@ -8,7 +8,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.List;
@@ -29,15 +30,14 @@
  */
 final class UpstreamConnectionPool {
     private static final int CONNECT_TIMEOUT_MILLISECONDS = 500;
-    private static final int MAX_HEADER_BYTES = 64 * 1024;
-    private static final int MAX_LINE_BYTES = 16 * 1024;
-    private static final int MAX_CHUNK_BYTES = 64 * 1024;
-
-    /** The connection reports a missing answer itself. */
-    private static final boolean FAIL_ON_MISSING_ANSWER = false;
 
     /** A header that no reply to a caller may contain makes the whole answer unreadable. */
-    private static final boolean VALIDATE_HEADERS = true;
+    private static final HttpDecoderConfig DECODING =
+            new HttpDecoderConfig()
+                    .setMaxInitialLineLength(16 * 1024)
+                    .setMaxHeaderSize(64 * 1024)
+                    .setMaxChunkSize(64 * 1024)
+                    .setValidateHeaders(true);
 
     /** Bytes of incomplete answers that are buffered together; a quarter of a 96 MB heap. */
     private static final long MAX_BUFFERED_BYTES = 24 * 1024 * 1024;
@@ -186,16 +186,13 @@
     private void initialize(Channel channel) {
         UpstreamConnection connection =
                 new UpstreamConnection(
-                        this, maxAnswerBytes, budget, log, DEFAULT_KEEP_ALIVE_MILLISECONDS);
-        channel.pipeline()
-                .addLast(
-                        new HttpClientCodec(
-                                MAX_LINE_BYTES,
-                                MAX_HEADER_BYTES,
-                                MAX_CHUNK_BYTES,
-                                FAIL_ON_MISSING_ANSWER,
-                                VALIDATE_HEADERS),
-                        connection);
+                        this,
+                        DECODING,
+                        maxAnswerBytes,
+                        budget,
+                        log,
+                        DEFAULT_KEEP_ALIVE_MILLISECONDS);
+        channel.pipeline().addLast(connection.decoder(), new HttpRequestEncoder(), connection);
     }
 
     private static UpstreamConnection connection(Channel channel) {
