--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnection.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnection.java
@@ -168,7 +168,10 @@
 
     private void onMessage(HttpObject message) {
         if (message.decoderResult().isFailure()) {
-            end(new UpstreamOutcome.Failed("the answer can't be read"));
+            String cause = String.valueOf(message.decoderResult().cause().getMessage());
+            end(
+                    new UpstreamOutcome.Failed(
+                            String.format("the answer can't be read: %.80s", cause)));
             return;
         }
         if (message instanceof HttpResponse response) {
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnectionPool.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnectionPool.java
@@ -30,14 +30,11 @@
  */
 final class UpstreamConnectionPool {
     private static final int CONNECT_TIMEOUT_MILLISECONDS = 500;
-
-    /** A header that no reply to a caller may contain makes the whole answer unreadable. */
     private static final HttpDecoderConfig DECODING =
             new HttpDecoderConfig()
                     .setMaxInitialLineLength(16 * 1024)
                     .setMaxHeaderSize(64 * 1024)
-                    .setMaxChunkSize(64 * 1024)
-                    .setValidateHeaders(true);
+                    .setMaxChunkSize(64 * 1024);
 
     /** Bytes of incomplete answers that are buffered together; a quarter of a 96 MB heap. */
     private static final long MAX_BUFFERED_BYTES = 24 * 1024 * 1024;
--- a/relay/src/test/java/org/damaskmoor/relay/UnfinishedSecondAnswerTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/UnfinishedSecondAnswerTest.java
@@ -4,6 +4,7 @@
 
 import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicReference;
 import org.damaskmoor.platform.standin.RawCaller;
 import org.damaskmoor.platform.standin.UpstreamStandIn;
 import org.damaskmoor.platform.standin.UpstreamStandIn.Connection;
@@ -23,6 +24,7 @@
 
     private static final int OK = 200;
     private static final int FAILURE = 500;
+    private static final int BAD_GATEWAY = 502;
 
     private TestFleet fleet;
     private UpstreamStandIn upstream;
@@ -99,6 +101,37 @@
         }
     }
 
+    /** Guards against a failure that reaches its caller with the status of an earlier answer. */
+    @Test
+    void should_not_forward_a_failure_as_success_when_a_part_of_a_second_answer_came_before_it()
+            throws Exception {
+        AtomicReference<String> part = new AtomicReference<>();
+        upstream.setScript(
+                (request, connection) -> {
+                    if (request.id().startsWith("ok")) {
+                        connection.send(answer(request.id(), OK));
+                    } else {
+                        connection.send(part.get());
+                        answerFailure(request, connection);
+                        connection.close();
+                    }
+                });
+        for (int length = 1; length < answer("ok-000", OK).length(); length++) {
+            String ok = id("ok", length);
+            part.set(answer(ok, OK).substring(0, length));
+
+            // when
+            sendRequest(ok);
+            RawCaller.Answer answer = sendRequest(id("no", length));
+
+            // then
+            assertWithMessage("after %s", part).that(answer.status()).isEqualTo(BAD_GATEWAY);
+            assertWithMessage("after %s", part)
+                    .that(answer.headers())
+                    .doesNotContainKey("server-stamp");
+        }
+    }
+
     /** Prevents further health checks, which would use the connection between the calls. */
     private static void answerWithoutLoad(Connection connection) throws IOException {
         connection.send("HTTP/1.1 200 OK\r\nInstance-Id: i-1\r\nContent-Length: 0\r\n\r\n");
