Move what an answer's head says to a class of its own

AnswerHead holds what is concluded from a head; the connection keeps the course of a call. No behaviour changes.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnection.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnection.java
@@ -8,26 +8,17 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.nio.channels.ClosedChannelException;
-import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.damaskmoor.core.buffer.BufferBudget;
 import org.damaskmoor.platform.http.ResponseDecoder;
-import org.damaskmoor.platform.protocol.HeaderNames;
-import org.damaskmoor.platform.protocol.LoadDecoder;
-import org.damaskmoor.platform.protocol.NoticeDecoder;
 import org.damaskmoor.relay.internal.log.EventLog;
-import org.damaskmoor.relay.internal.net.ForwardedHeaders;
-import org.damaskmoor.schema.mesh.HeaderField;
 
 /**
  * An HTTP connection to the upstream that carries one call at a time.
@@ -44,11 +35,6 @@
  * bytes, or an answer before the request was sent in full, the connection is not reused.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
-    private static final int MISDIRECTED_REQUEST = 421;
-    private static final int BAD_REQUEST = 400;
-    private static final int TOO_MANY_REQUESTS = 429;
-    private static final int SERVICE_UNAVAILABLE = 503;
-
     /** Interim and foreign answers that may precede the answer to a call. */
     private static final int MAX_SKIPPED_ANSWERS = 32;
 
@@ -65,7 +51,7 @@
     private String requestId = "";
     private ChannelFuture written;
     private boolean notReusable;
-    private HttpResponse head;
+    private AnswerHead head;
     private boolean skippingBody;
     private boolean healthChecking;
     private int calls;
@@ -175,7 +161,7 @@
             return;
         }
         if (message instanceof HttpResponse response) {
-            onHead(response);
+            onHead(new AnswerHead(response));
         }
         if (message instanceof HttpContent content && head != null) {
             onContent(content);
@@ -194,34 +180,31 @@
         channel.close();
     }
 
-    private void onHead(HttpResponse response) {
-        head = response;
+    private void onHead(AnswerHead received) {
+        head = received;
         body = ByteString.newOutput();
-        boolean interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         boolean matchesRequest =
-                healthChecking
-                        ? response.headers().contains(HeaderNames.UPSTREAM_ID)
-                        : requestId.equals(response.headers().get(HeaderNames.REQUEST_ID));
-        skippingBody = interim || !(matchesRequest || isRefusalWithoutId(response));
+                healthChecking ? received.isOfHealthCheck() : received.isAnswerTo(requestId);
+        skippingBody = received.isInterim() || !(matchesRequest || received.isRefusalWithoutId());
         if (skippingBody) {
-            if (!interim) {
+            if (!received.isInterim()) {
                 notReusable = true;
-                logSkipped(response);
+                logSkipped(received);
             }
             skippedAnswers++;
             if (skippedAnswers > MAX_SKIPPED_ANSWERS) {
                 fail("the upstream sent more than " + MAX_SKIPPED_ANSWERS + " other answers");
             }
-        } else if (HttpUtil.getContentLength(response, 0L) > bodyLimit()) {
+        } else if (received.contentLength() > bodyLimit()) {
             fail(tooLong());
         }
     }
 
-    private void logSkipped(HttpResponse response) {
+    private void logSkipped(AnswerHead skipped) {
         log.event("answer-skipped")
                 .with("request", requestId)
-                .with("id", response.headers().get(HeaderNames.REQUEST_ID, ""))
-                .with("status", response.status().code())
+                .with("id", skipped.requestId())
+                .with("status", skipped.status())
                 .with("connection", localPort())
                 .with("connection_calls", calls)
                 .write();
@@ -244,18 +227,6 @@
         return "the answer is longer than " + bodyLimit() + " bytes";
     }
 
-    /**
-     * An upstream may refuse a request before reading it, and then sends no request id. A second
-     * copy of such a refusal would look like the answer to the next call, so the connection must
-     * not carry one.
-     */
-    private static boolean isRefusalWithoutId(HttpResponse response) {
-        boolean refused =
-                response.status().code() == MISDIRECTED_REQUEST
-                        || response.headers().contains(HeaderNames.NOT_RUN);
-        return refused && !response.headers().contains(HeaderNames.REQUEST_ID);
-    }
-
     private void onContent(HttpContent content) {
         int length = content.content().readableBytes();
         if (skippingBody) {
@@ -273,10 +244,10 @@
         if (content instanceof LastHttpContent) {
             boolean accepted = !skippingBody;
             skippingBody = false;
-            HttpResponse completed = head;
+            AnswerHead completed = head;
             head = null;
             if (accepted && pendingOutcome != null) {
-                if (endsWithConnection(completed) && requestBrokeOff()) {
+                if (completed.endsWithConnection() && requestBrokeOff()) {
                     fail("the connection broke off within the answer");
                 } else {
                     finish(completed);
@@ -285,12 +256,6 @@
         }
     }
 
-    /** Whether only the end of the connection marks the end of the answer. */
-    private static boolean endsWithConnection(HttpResponse response) {
-        return !HttpUtil.isContentLengthSet(response)
-                && !HttpUtil.isTransferEncodingChunked(response);
-    }
-
     /**
      * Whether the connection failed while the request was being written. The write then meets a
      * reset first, and the channel is closed without an exception, as after an orderly end; in that
@@ -320,55 +285,19 @@
         budget.release(this).forEach(UpstreamConnection::resume);
     }
 
-    private void finish(HttpResponse response) {
+    private void finish(AnswerHead answered) {
         boolean reusable =
                 !notReusable
-                        && !isRefusalWithoutId(response)
+                        && !answered.isRefusalWithoutId()
                         && written.isDone()
-                        && HttpUtil.isKeepAlive(response)
-                        && !endsWithConnection(response);
-        keepAliveMilliseconds = KeepAliveTimeout.parseMilliseconds(response, keepAliveMilliseconds);
-        UpstreamOutcome outcome = outcome(response);
-        if (!reusable) {
-            notReusable = true;
-        }
-        end(outcome);
-    }
-
-    private UpstreamOutcome outcome(HttpResponse response) {
-        int status = response.status().code();
-        if (status == MISDIRECTED_REQUEST) {
-            return new UpstreamOutcome.NotRun(
-                    UpstreamOutcome.Cause.OTHER_UPSTREAM,
-                    report(response, UpstreamReport.Source.REFUSAL));
-        }
-        boolean mayRefuse =
-                status == SERVICE_UNAVAILABLE
-                        || status == TOO_MANY_REQUESTS
-                        || status == BAD_REQUEST;
-        if (mayRefuse && response.headers().contains(HeaderNames.NOT_RUN)) {
-            return new UpstreamOutcome.NotRun(
-                    UpstreamOutcome.Cause.SHED, report(response, UpstreamReport.Source.REFUSAL));
-        }
-        List<HeaderField> headers = ForwardedHeaders.ofAnswer(response.headers());
+                        && answered.isKeepAlive()
+                        && !answered.endsWithConnection();
+        keepAliveMilliseconds = answered.keepAliveMilliseconds(keepAliveMilliseconds);
+        notReusable = !reusable;
         UpstreamReport.Source source =
                 healthChecking ? UpstreamReport.Source.HEALTH_CHECK : UpstreamReport.Source.ANSWER;
-        return new UpstreamOutcome.Answered(
-                status,
-                headers,
-                body.toByteString(),
-                report(response, source),
-                new AnswerOrigin(localPort(), calls, skippedAnswers));
-    }
-
-    private static UpstreamReport report(HttpResponse response, UpstreamReport.Source source) {
-        HttpHeaders headers = response.headers();
-        return new UpstreamReport(
-                source,
-                LoadDecoder.decode(headers.get(HeaderNames.UPSTREAM_LOAD)),
-                NoticeDecoder.decode(
-                        headers.get(HeaderNames.UPSTREAM_LIMIT),
-                        headers.get(HeaderNames.UPSTREAM_LEAVING)));
+        AnswerOrigin origin = new AnswerOrigin(localPort(), calls, skippedAnswers);
+        end(answered.toOutcome(body.toByteString(), source, origin));
     }
 
     private void end(UpstreamOutcome outcome) {
