Don't complete a cut body with the bytes of a second answer

Cause: an upstream cut its answer in the body, kept the connection, and sent the whole answer a second time. The first bytes of the second one filled the length that the first had announced. The same happened when the copy of an earlier answer was written into a body.

The bytes behind an answer tell it: a second answer is longer than what was missing of the first. A call ends now when all bytes that have arrived together with its answer can be seen. If there are some behind it, and a status line begins within the body, the outcome is unknown. A body that quotes a status line, and one that other bytes follow, are forwarded as before (both are tests). A seam at which nothing has arrived yet can't be noticed.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnection.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnection.java
@@ -30,9 +30,10 @@
  *
  * <p>Confined to the event loop. Invariants: a call has one outcome; the body of an answer is at
  * most {@code maxAnswerBytes} long, and so are the skipped bodies of a call together; an answer
- * that ends with its connection is complete only if the upstream ended it; a connection brings at
- * most one refusal without an id, which ends it; after bytes that belong to no call, unreadable
- * bytes, or an answer before the request was sent in full, the connection is not reused.
+ * that ends with its connection is complete only if the upstream ended it; a body in which another
+ * answer begins is not complete if bytes follow it; a connection brings at most one refusal without
+ * an id, which ends it; after bytes that belong to no call, unreadable bytes, or an answer before
+ * the request was sent in full, the connection is not reused.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
     /** Interim and foreign answers that may precede the answer to a call. */
@@ -52,6 +53,7 @@
     private ChannelFuture written;
     private boolean notReusable;
     private AnswerHead head;
+    private AnswerHead answered;
     private boolean skippingBody;
     private boolean healthChecking;
     private int calls;
@@ -250,7 +252,8 @@
                 if (completed.endsWithConnection() && requestBrokeOff()) {
                     fail("the connection broke off within the answer");
                 } else {
-                    finish(completed);
+                    answered = completed;
+                    decoder.pause();
                 }
             }
         }
@@ -285,19 +288,39 @@
         budget.release(this).forEach(UpstreamConnection::resume);
     }
 
-    private void finish(AnswerHead answered) {
+    /** Ends a call when all bytes that have arrived with its answer can be seen. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        finishAnswered();
+        context.fireChannelReadComplete();
+    }
+
+    private void finishAnswered() {
+        AnswerHead completed = answered;
+        answered = null;
+        if (completed != null && pendingOutcome != null) {
+            finish(completed);
+        }
+    }
+
+    private void finish(AnswerHead completed) {
         boolean reusable =
                 !notReusable
-                        && !answered.isRefusalWithoutId()
+                        && !completed.isRefusalWithoutId()
                         && written.isDone()
-                        && answered.isKeepAlive()
-                        && !answered.endsWithConnection();
-        keepAliveMilliseconds = answered.keepAliveMilliseconds(keepAliveMilliseconds);
+                        && completed.isKeepAlive()
+                        && !completed.endsWithConnection();
+        keepAliveMilliseconds = completed.keepAliveMilliseconds(keepAliveMilliseconds);
         notReusable = !reusable;
         UpstreamReport.Source source =
                 healthChecking ? UpstreamReport.Source.HEALTH_CHECK : UpstreamReport.Source.ANSWER;
         AnswerOrigin origin = new AnswerOrigin(localPort(), calls, skippedAnswers);
-        end(answered.toOutcome(body.toByteString(), source, origin));
+        ByteString wholeBody = body.toByteString();
+        if (decoder.hasMoreBytes() && decoder.isStatusLineWithin(wholeBody)) {
+            end(new UpstreamOutcome.Failed("the answer runs into another one"));
+        } else {
+            end(completed.toOutcome(wholeBody, source, origin));
+        }
     }
 
     private void end(UpstreamOutcome outcome) {
@@ -324,6 +347,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        finishAnswered();
         notReusable = true;
         pool.remove(this);
         releaseBuffer();
--- /dev/null
+++ b/relay/src/test/java/org/damaskmoor/relay/JoinedBodyTest.java
@@ -0,0 +1,115 @@
+package org.damaskmoor.relay;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.io.IOException;
+import org.damaskmoor.platform.standin.RawCaller;
+import org.damaskmoor.platform.standin.UpstreamStandIn;
+import org.damaskmoor.relay.fixture.InProcessRelay;
+import org.damaskmoor.relay.fixture.TestFleet;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Answers whose body is cut, and followed by another answer on the same connection. */
+class JoinedBodyTest {
+    private static final int BAD_GATEWAY = 502;
+    private static final int OK = 200;
+
+    private TestFleet fleet;
+    private UpstreamStandIn upstream;
+    private InProcessRelay relay;
+
+    @BeforeEach
+    void start() throws Exception {
+        fleet = new TestFleet();
+        upstream = new UpstreamStandIn();
+        relay = fleet.relay("one", upstream);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        relay.close();
+        upstream.close();
+        fleet.close();
+    }
+
+    /** Guards against a body whose missing end is taken from the next answer. */
+    @Test
+    void should_not_complete_a_cut_body_with_the_bytes_of_a_second_answer() throws Exception {
+        String body = "a body that is longer than the shortest status line";
+        for (int missing = 1; missing <= body.length(); missing++) {
+            String id = String.format("cut-%03d", missing);
+            String whole = UpstreamStandIn.answer(id, OK, body);
+            String cut = whole.substring(0, whole.length() - missing);
+            upstream.setScript(
+                    (request, connection) -> {
+                        connection.send(cut);
+                        Thread.sleep(5);
+                        connection.send(whole);
+                    });
+
+            // when
+            RawCaller.Answer answer = sendRequest(id);
+
+            // then
+            assertWithMessage("with %s bytes missing", missing)
+                    .that(answer.status())
+                    .isEqualTo(BAD_GATEWAY);
+        }
+    }
+
+    /** Guards against a body into which an earlier answer was written. */
+    @Test
+    void should_not_forward_a_body_that_is_interrupted_by_a_second_answer() throws Exception {
+        String former = UpstreamStandIn.answer("former", OK, "the former body");
+        upstream.setScript(
+                (request, connection) -> {
+                    String whole = UpstreamStandIn.answer(request.id(), OK, "a".repeat(1000));
+                    int seam = whole.length() - 500;
+                    connection.send(whole.substring(0, seam));
+                    connection.send(former + whole.substring(seam));
+                });
+
+        // when, then
+        assertWithMessage("status")
+                .that(sendRequest("interrupted").status())
+                .isEqualTo(BAD_GATEWAY);
+    }
+
+    @Test
+    void should_forward_a_body_that_quotes_a_status_line() throws Exception {
+        String body = "The server sent HTTP/1.1 200 OK and some headers.";
+        upstream.setScript(
+                (request, connection) ->
+                        answerTwice(UpstreamStandIn.answer(request.id(), OK, body), connection));
+
+        // when, then
+        assertWithMessage("body").that(sendRequest("quotes").body()).isEqualTo(body);
+    }
+
+    @Test
+    void should_forward_a_body_that_is_followed_by_bytes_of_no_answer() throws Exception {
+        upstream.setScript(
+                (request, connection) ->
+                        connection.send(
+                                UpstreamStandIn.answer(request.id(), OK, "whole") + "\u0001 rest"));
+
+        // when, then
+        assertWithMessage("body").that(sendRequest("followed").body()).isEqualTo("whole");
+    }
+
+    private static void answerTwice(String answer, UpstreamStandIn.Connection connection)
+            throws IOException, InterruptedException {
+        connection.send(answer);
+        Thread.sleep(30);
+        connection.send(answer);
+    }
+
+    /** Sends a request that is not sent to a second upstream. */
+    private RawCaller.Answer sendRequest(String id) throws Exception {
+        try (RawCaller caller = relay.caller()) {
+            return caller.exchange(RawCaller.post("/order/1", id, "body"));
+        }
+    }
+}
