Don't send two calls with one id over one connection to the upstream

Cause: an answer is matched to the call in flight by its request id alone. An id names one call only while it comes once. It comes twice where a request that ran again makes its calls again with the same ids, where two nodes send one id, and where a caller sends an id twice; a target has no part in that and can't prevent it. The pool hands out the connection used last, so that the second call mostly went over the connection of the first, and a late copy of the first answer was taken for the second.

Evidence: with an upstream that sends its first answer (200) again when the second run (500) has arrived, the second caller got 200 in each of the three cases of the test on: twice from one caller, from two nodes, and with 50 other requests in between.

Now a call goes over a connection only if that has not carried its id. A copy comes over the connection of its own call, where it meets a call with another id and is skipped, or none, and the connection is closed. The ids of a connection are bounded: it is closed after 1000 of them, and keeps their hash codes, so that long ids take no more memory. Other ids are sent over kept connections as before. A connection that is opened because of a repeated id replaces an idle one, so that one id that comes many times does not open more connections than others.

Tests that failed before: RepeatedRequestIdTest.should_forward_a_failure_as_it_is_when_* (3). Its other tests passed before, except the bound of 1000 calls, and guard against overlapping runs, new connections for ordinary ids and a growing pool.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnectionPool.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnectionPool.java
@@ -12,9 +12,11 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.damaskmoor.core.buffer.BufferBudget;
 import org.damaskmoor.relay.internal.log.EventLog;
 import org.damaskmoor.relay.internal.time.Timers;
@@ -23,10 +25,10 @@
 /**
  * A pool of HTTP connections to the upstream on this VM.
  *
- * <p>Confined to the event loop. Invariants: a connection carries one call at a time; a connection
- * is not reused when the upstream may already have closed it as idle; a non-idempotent call gets a
- * new or recently used connection, because the upstream may close an idle one while the call is
- * being sent.
+ * <p>Confined to the event loop. Invariants: a connection carries one call at a time, and no two
+ * calls with the same request id; a connection is not reused when the upstream may already have
+ * closed it as idle; a non-idempotent call gets a new or recently used connection, because the
+ * upstream may close an idle one while the call is being sent.
  */
 final class UpstreamConnectionPool {
     private static final int CONNECT_TIMEOUT_MILLISECONDS = 500;
@@ -58,6 +60,7 @@
     private final EventLog log;
     private final Bootstrap bootstrap;
     private final ArrayDeque<UpstreamConnection> idle = new ArrayDeque<>();
+    private final CarriedRequestIds<UpstreamConnection> carriedIds = new CarriedRequestIds<>();
     private final long maxAnswerBytes;
     private final BufferBudget<UpstreamConnection> budget = new BufferBudget<>(MAX_BUFFERED_BYTES);
 
@@ -103,10 +106,11 @@
             long deadlineAt,
             Consumer<UpstreamOutcome> outcome) {
         PendingSend pending = new PendingSend(call, request, deadlineAt, outcome);
-        UpstreamConnection reused = takeIdle(call.getNonIdempotent());
+        UpstreamConnection reused = takeIdle(call);
         if (reused != null) {
             pending.on(reused);
         } else {
+            closeLastIfCarried(call.getCallerRequestId());
             bootstrap
                     .connect(address)
                     .addListener((ChannelFuture connected) -> pending.onConnected(connected));
@@ -117,7 +121,7 @@
     /** Sends a health check; the report is empty if no answer arrives in time. */
     void checkHealth(String path, Consumer<Optional<UpstreamReport>> onReport) {
         HealthCheck check = new HealthCheck(path, onReport);
-        UpstreamConnection reused = takeIdle(false);
+        UpstreamConnection reused = takeIdle(connection -> true);
         if (reused != null) {
             check.on(reused);
         } else {
@@ -149,24 +153,54 @@
     }
 
     void release(UpstreamConnection connection) {
+        if (carriedIds.isExhausted(connection)) {
+            connection.close();
+            return;
+        }
         connection.markIdle(timers.now());
         idle.addLast(connection);
     }
 
     void remove(UpstreamConnection connection) {
         idle.remove(connection);
+        carriedIds.remove(connection);
+    }
+
+    private UpstreamConnection takeIdle(ForwardedCall call) {
+        long usedSince = timers.now() - RECENTLY_USED_MILLISECONDS;
+        return takeIdle(
+                connection ->
+                        !carriedIds.contains(connection, call.getCallerRequestId())
+                                && (!call.getNonIdempotent()
+                                        || connection.idleSince() >= usedSince));
+    }
+
+    /** Takes the most recently used of the connections that may be reused. */
+    private UpstreamConnection takeIdle(Predicate<UpstreamConnection> mayReuse) {
+        closeExpired(timers.now());
+        idle.removeIf(connection -> !connection.isUsable());
+        Iterator<UpstreamConnection> latestFirst = idle.descendingIterator();
+        while (latestFirst.hasNext()) {
+            UpstreamConnection connection = latestFirst.next();
+            if (mayReuse.test(connection)) {
+                latestFirst.remove();
+                return connection;
+            }
+        }
+        return null;
     }
 
-    private UpstreamConnection takeIdle(boolean nonIdempotent) {
-        long now = timers.now();
-        closeExpired(now);
+    /**
+     * Closes the most recently used connection if the id keeps it from being reused. The one that
+     * is opened instead replaces it, so that an id that comes often opens no more connections than
+     * others.
+     */
+    private void closeLastIfCarried(String requestId) {
         UpstreamConnection last = idle.peekLast();
-        boolean recentlyUsed = last != null && now - last.idleSince() <= RECENTLY_USED_MILLISECONDS;
-        if (last == null || (nonIdempotent && !recentlyUsed)) {
-            return null;
+        if (last != null && carriedIds.contains(last, requestId)) {
+            idle.removeLast();
+            last.close();
         }
-        idle.removeLast();
-        return last.isUsable() ? last : takeIdle(nonIdempotent);
     }
 
     private void closeExpired(long now) {
@@ -269,6 +303,7 @@
 
         void on(UpstreamConnection opened) {
             connection = opened;
+            carriedIds.add(opened, call.getCallerRequestId());
             long remaining = Math.max(1, deadlineAt - timers.now());
             UpstreamRequestFactory.setRemaining(request, remaining);
             opened.send(
