Don't take a second answer to a call for the answer to a health check

Cause: health checks share the connections with calls, and any answer that names the upstream passed as the answer to a check, also one with the id of a request.

A check is sent without an id, so that an answer with one belongs to a call. It is skipped now, like any other answer to another call, and the check takes its own. An answer with an empty id still counts, since an upstream may echo the id that it did not get. Two answers to checks can't be told apart; that remains.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/AnswerHead.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/AnswerHead.java
@@ -45,8 +45,9 @@
         return response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     }
 
+    /** Health checks are sent without an id, so that an answer with one belongs to a call. */
     boolean isOfHealthCheck() {
-        return headers().contains(HeaderNames.UPSTREAM_ID);
+        return requestId().isEmpty() && headers().contains(HeaderNames.UPSTREAM_ID);
     }
 
     /**
