--- a/relay/src/test/java/org/damaskmoor/relay/CallerProtocolTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/CallerProtocolTest.java
@@ -49,6 +49,65 @@
         }
     }
 
+    @Test
+    void should_answer_pipelined_requests_in_order_when_some_are_answered_at_once()
+            throws Exception {
+        // given
+        upstream.setScript(
+                (request, connection) -> {
+                    Thread.sleep(request.id().length() % 3);
+                    UpstreamStandIn.answerOk(request, connection);
+                });
+        StringBuilder requests = new StringBuilder();
+        for (int i = 0; i < 60; i++) {
+            String path = i % 3 == 0 ? "/nowhere/1" : "/read/1";
+            requests.append(RawCaller.get(path, "r" + i));
+        }
+
+        // when
+        try (RawCaller caller = relay.caller()) {
+            caller.send(requests.toString());
+
+            // then
+            for (int i = 0; i < 60; i++) {
+                RawCaller.Answer answer = caller.readAnswer();
+                assertThat(answer.headers().get("request-id")).isEqualTo("r" + i);
+                assertThat(answer.status()).isEqualTo(i % 3 == 0 ? 404 : 200);
+                assertThat(answer.isOwn("r" + i)).isEqualTo(i % 3 != 0);
+            }
+        }
+    }
+
+    @Test
+    void should_not_give_a_reply_to_the_next_caller_when_its_caller_has_left() throws Exception {
+        // given
+        upstream.setScript(
+                (request, connection) -> {
+                    Thread.sleep(request.id().startsWith("left") ? 100 : 0);
+                    UpstreamStandIn.answerOk(request, connection);
+                });
+
+        for (int i = 0; i < 5; i++) {
+            String left = "left-" + i;
+            String next = "next-" + i;
+            try (RawCaller caller = relay.caller()) {
+                caller.send(RawCaller.post("/order/1", left, "body"));
+                TestFleet.await(() -> upstream.runCount(left) == 1);
+            }
+
+            // when
+            try (RawCaller caller = relay.caller()) {
+                RawCaller.Answer first = caller.exchange(RawCaller.post("/order/1", next, "body"));
+                Thread.sleep(150);
+                RawCaller.Answer second = caller.exchange(RawCaller.get("/read/1", next + "b"));
+
+                // then
+                assertThat(first.isOwn(next)).isTrue();
+                assertThat(second.isOwn(next + "b")).isTrue();
+            }
+        }
+    }
+
     @Test
     void should_forward_a_complete_chunked_body() throws Exception {
         // when
