Refuse requests whose length, host or id has two meanings

What callers would see: a request with both a Content-Length and chunks, or with a coding that the relay doesn't know ("gzip", "xchunked", "chunked, identity"), was answered 200, and the bytes behind the end that the relay took were read as a further request and run. A proxy before the relay that takes another end counts these bytes as body: its caller could have a request run that the proxy never saw. Of two Host or Request-Id headers the first was used.

Cause: Netty resolves these cases instead of refusing them. It drops the Content-Length of a chunked request, and reads a request with an unknown coding and no length as one without a body.

Change: RequestDecoder fails on a Content-Length beside chunks; a head with codings other than one "chunked" in HTTP/1.1, two hosts or two ids is refused with 400, and the connection is closed (RFC 9112, sections 6.1 and 6.3).

--- a/node/src/test/java/org/damaskmoor/node/InvalidRequestTest.java
+++ b/node/src/test/java/org/damaskmoor/node/InvalidRequestTest.java
@@ -60,6 +60,8 @@
                 malformed("later version", "GET /visits HTTP/2.0\r\n" + HOST + "\r\n"),
                 malformed("field without name", "GET / HTTP/1.1\r\n" + HOST + ": x\r\n\r\n"),
                 malformed("space in name", "GET / HTTP/1.1\r\n" + HOST + "a b: x\r\n\r\n"),
+                malformed("space before a colon", post("Content-Length : 1\r\n", "a")),
+                malformed("line without a colon", "GET / HTTP/1.1\r\n" + HOST + "a\r\n\r\n"),
                 malformed("bare CR", "GET / HTTP/1.1\r\n" + HOST + "A: x\ry: z\r\n\r\n"),
                 malformed("NUL in a field", "GET / HTTP/1.1\r\n" + HOST + "A: \0\r\n\r\n"),
                 malformed("no host", "GET /visits HTTP/1.1\r\n\r\n"),
--- a/relay/src/main/java/org/damaskmoor/relay/internal/caller/CallerConnection.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/caller/CallerConnection.java
@@ -28,9 +28,10 @@
  * A connection of a caller.
  *
  * <p>Confined to the event loop. Invariants: one request is served at a time, in the order of
- * arrival, so that a reply reaches only its own request; a malformed request is refused and the
- * connection closed, so that the rest of it is not taken for a request; a disconnect of the caller
- * is noticed while its request is served; a reply that can't be sent is replaced by a failure.
+ * arrival, so that a reply reaches only its own request; a malformed or ambiguous request is
+ * refused and the connection closed, so that the rest of it is not taken for a request; a
+ * disconnect of the caller is noticed while its request is served; a reply that can't be sent is
+ * replaced by a failure.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
     private static final int BAD_REQUEST = 400;
@@ -105,7 +106,9 @@
         headAt = server.now();
         body = ByteString.newOutput();
         keepAlive = HttpUtil.isKeepAlive(request);
-        if (HttpUtil.getContentLength(request, 0L) > server.limits().bodyBytes()) {
+        if (!RequestDecoder.isUnambiguous(request)) {
+            refuse(BAD_REQUEST);
+        } else if (HttpUtil.getContentLength(request, 0L) > server.limits().bodyBytes()) {
             refuse(TOO_LARGE);
         } else if (HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(
--- a/relay/src/main/java/org/damaskmoor/relay/internal/caller/CallerServer.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/caller/CallerServer.java
@@ -7,7 +7,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.List;
@@ -86,7 +86,11 @@
                 new HttpDecoderConfig()
                         .setMaxInitialLineLength(headerBytes)
                         .setMaxHeaderSize(headerBytes);
-        channel.pipeline().addLast(new HttpServerCodec(config), new CallerConnection(this));
+        channel.pipeline()
+                .addLast(
+                        new RequestDecoder(config),
+                        new HttpResponseEncoder(),
+                        new CallerConnection(this));
     }
 
     /** Closes each connection after its next reply, so that callers connect elsewhere. */
