Take the outcome of an attempt only from the target it was sent to

A caller could get the answer of a node that its request was never sent to, and a request could be sent again because such a node refused it.

Cause: the entry matched outcomes by the sequence of the exchange and the number of the attempt, whichever link they came by. The listener knew its target but used it for load reports only.

Now an outcome reaches an exchange only if the attempt was made and sent to the node whose link brought it. A node gets at most one attempt of an exchange, so that node and attempt together name one call.

Tests that failed before: EntryRequestHandlerTest.should_not_take_an_answer_from_a_node_that_the_attempt_was_not_sent_to (200 where the target answered 500) and should_not_take_a_refusal_from_a_node_that_the_attempt_was_not_sent_to. The other four tests of the class passed before and guard: the failure of one request beside the success of another, two answered attempts, a failure followed by no answer, and an attempt that was not made.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
@@ -36,6 +36,7 @@
  * <p>Performs the actions of its {@link EntryCall}: chooses targets, sends, seals and cancels.
  *
  * <p>Confined to the event loop. Invariant: the caller gets one reply, or none if it disconnects.
+ * Outcomes are passed to it only if {@link #isSentTo} holds for their attempt and target.
  */
 final class EntryExchange {
     /** Timeout of a request for which neither the caller nor the route sets one. */
@@ -140,11 +141,14 @@
         return id;
     }
 
+    /** Whether the attempt was made and sent to the target, so that outcomes of it may come. */
+    boolean isSentTo(int number, NodeId target) {
+        SentAttempt attempt = attempts.get(number);
+        return attempt != null && attempt.target.node().equals(target);
+    }
+
     void onAnswered(ForwardedAnswer received) {
         SentAttempt attempt = attempts.get(received.getAttempt());
-        if (attempt == null) {
-            return;
-        }
         if (attempt.isEnded()) {
             replies.logAnswerAfterEnd(attempt, received);
         }
@@ -176,9 +180,6 @@
 
     void onRefused(ForwardedRefusal received) {
         SentAttempt attempt = end(received.getAttempt());
-        if (attempt == null) {
-            return;
-        }
         upstreamAttempts--;
         attempt.target.updateLoad(received.getLoad(), now());
         if (received.getRetryAfterMilliseconds() > 0) {
@@ -207,19 +208,15 @@
 
     void onFailed(ForwardedFailure received) {
         SentAttempt attempt = end(received.getAttempt());
-        if (attempt != null) {
-            attempt.target.estimate().onOutcome(true, now());
-            needsRetryBudget = true;
-            perform(call.failed(attemptId(attempt)));
-        }
+        attempt.target.estimate().onOutcome(true, now());
+        needsRetryBudget = true;
+        perform(call.failed(attemptId(attempt)));
     }
 
     void onSealed(CallSealed received) {
         SentAttempt attempt = attempts.get(received.getAttempt());
-        if (attempt != null) {
-            unreachedAttempts++;
-            perform(call.sealResult(attemptId(attempt), received.getState()));
-        }
+        unreachedAttempts++;
+        perform(call.sealResult(attemptId(attempt), received.getState()));
     }
 
     /** The attempt was not sent: no connection could be opened. */
--- a/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryRequestHandler.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryRequestHandler.java
@@ -28,7 +28,8 @@
  * Handles callers' requests at the entry: matches the route, picks a service by weight, starts an
  * exchange, and passes messages from targets to the exchange that they concern.
  *
- * <p>Confined to the event loop. Invariant: each request of a caller gets one reply.
+ * <p>Confined to the event loop. Invariants: each request of a caller gets one reply; the outcome
+ * of an attempt is taken only from the target that the attempt was sent to.
  */
 public final class EntryRequestHandler implements CallerHandler {
     private static final int NOT_FOUND = 404;
@@ -217,22 +218,33 @@
 
         @Override
         public void onAnswered(ForwardedAnswer answer) {
-            find(answer.getSequence()).ifPresent(exchange -> exchange.onAnswered(answer));
+            find(answer.getSequence(), answer.getAttempt())
+                    .ifPresent(exchange -> exchange.onAnswered(answer));
         }
 
         @Override
         public void onRefused(ForwardedRefusal refusal) {
-            find(refusal.getSequence()).ifPresent(exchange -> exchange.onRefused(refusal));
+            find(refusal.getSequence(), refusal.getAttempt())
+                    .ifPresent(exchange -> exchange.onRefused(refusal));
         }
 
         @Override
         public void onFailed(ForwardedFailure failure) {
-            find(failure.getSequence()).ifPresent(exchange -> exchange.onFailed(failure));
+            find(failure.getSequence(), failure.getAttempt())
+                    .ifPresent(exchange -> exchange.onFailed(failure));
         }
 
         @Override
         public void onSealed(CallSealed sealed) {
-            find(sealed.getSequence()).ifPresent(exchange -> exchange.onSealed(sealed));
+            find(sealed.getSequence(), sealed.getAttempt())
+                    .ifPresent(exchange -> exchange.onSealed(sealed));
+        }
+
+        /** The exchange whose attempt was sent to this target; no other outcome is its own. */
+        private Optional<EntryExchange> find(long sequence, int attempt) {
+            return EntryRequestHandler.this
+                    .find(sequence)
+                    .filter(exchange -> exchange.isSentTo(attempt, target));
         }
 
         @Override
--- /dev/null
+++ b/relay/src/test/java/org/damaskmoor/relay/internal/entry/EntryRequestHandlerTest.java
@@ -0,0 +1,306 @@
+package org.damaskmoor.relay.internal.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.damaskmoor.core.id.DataCentreName;
+import org.damaskmoor.core.id.Incarnation;
+import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.core.id.RegionName;
+import org.damaskmoor.core.id.ServiceName;
+import org.damaskmoor.core.placement.RouteStatistics;
+import org.damaskmoor.core.placement.TargetChooser;
+import org.damaskmoor.core.quarantine.RequestFingerprint;
+import org.damaskmoor.core.routetable.CallerLimits;
+import org.damaskmoor.core.routetable.Route;
+import org.damaskmoor.core.routetable.RouteTable;
+import org.damaskmoor.core.routetable.ServiceDefinition;
+import org.damaskmoor.core.routetable.WeightedService;
+import org.damaskmoor.relay.fixture.ManualTimers;
+import org.damaskmoor.relay.fixture.SilentLog;
+import org.damaskmoor.relay.internal.caller.CallerReply;
+import org.damaskmoor.relay.internal.caller.CallerRequest;
+import org.damaskmoor.relay.internal.fleet.FleetDirectory;
+import org.damaskmoor.relay.internal.fleet.LeavingUpstreams;
+import org.damaskmoor.relay.internal.link.CallLink;
+import org.damaskmoor.relay.internal.metrics.RelayMetrics;
+import org.damaskmoor.schema.link.CallCancel;
+import org.damaskmoor.schema.link.CallSeal;
+import org.damaskmoor.schema.link.FleetMember;
+import org.damaskmoor.schema.link.FleetNews;
+import org.damaskmoor.schema.link.FleetRequest;
+import org.damaskmoor.schema.link.ForwardedAnswer;
+import org.damaskmoor.schema.link.ForwardedCall;
+import org.damaskmoor.schema.link.ForwardedFailure;
+import org.damaskmoor.schema.link.ForwardedRefusal;
+import org.damaskmoor.schema.link.ReaderSign;
+import org.damaskmoor.schema.mesh.RefusalReason;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Which outcome of which target a request is answered with. */
+class EntryRequestHandlerTest {
+    private static final ServiceName BOOKS = new ServiceName("books");
+    private static final int OK = 200;
+    private static final int FAILURE = 500;
+
+    private final List<SentCall> sent = new ArrayList<>();
+    private final List<CallerReply> replies = new ArrayList<>();
+    private EntryRequestHandler entry;
+
+    private record SentCall(NodeId target, ForwardedCall call) {}
+
+    @BeforeEach
+    void start() {
+        ManualTimers timers = new ManualTimers();
+        SilentLog log = new SilentLog();
+        Random random = new Random(1);
+        FleetDirectory fleet =
+                new FleetDirectory(
+                        new NodeId("self"),
+                        new RegionName("home"),
+                        new DataCentreName("home-1"),
+                        (node, address) -> new RecordingLink(node),
+                        timers,
+                        log,
+                        new LeavingUpstreams(log));
+        fleet.merge(List.of(member("one", 1), member("two", 2)));
+        entry =
+                new EntryRequestHandler(
+                        new NodeId("self"),
+                        new Incarnation(1),
+                        new EntryContext(
+                                new ServiceName("other"),
+                                fleet,
+                                new TargetChooser(random),
+                                new RouteStatistics(),
+                                new RetryBudgets(1, 10, 10_000),
+                                timers,
+                                random,
+                                log,
+                                new RelayMetrics()),
+                        new NoQuarantine());
+        entry.applyRoutes(
+                new RouteTable(
+                        1,
+                        List.of(route("read", true), route("order", false)),
+                        List.of(new ServiceDefinition(BOOKS, "/healthz", 100)),
+                        CallerLimits.UNCONFIGURED));
+    }
+
+    @Test
+    void should_not_take_an_answer_from_a_node_that_the_attempt_was_not_sent_to() {
+        // given
+        send("/order/1");
+        SentCall call = sent.get(0);
+
+        // when
+        entry.outcomeListener(other(call.target())).onAnswered(answer(call, OK));
+
+        // then
+        assertThat(replies).isEmpty();
+
+        // when
+        entry.outcomeListener(call.target()).onAnswered(answer(call, FAILURE));
+
+        // then
+        assertThat(statuses()).containsExactly(FAILURE);
+    }
+
+    @Test
+    void should_not_take_a_refusal_from_a_node_that_the_attempt_was_not_sent_to() {
+        // given
+        send("/order/1");
+        SentCall call = sent.get(0);
+
+        // when
+        entry.outcomeListener(other(call.target()))
+                .onRefused(
+                        ForwardedRefusal.newBuilder()
+                                .setSequence(call.call().getSequence())
+                                .setAttempt(call.call().getAttempt())
+                                .setReason(RefusalReason.QUEUE_FULL)
+                                .build());
+
+        // then
+        assertThat(replies).isEmpty();
+        assertThat(sent).hasSize(1);
+    }
+
+    @Test
+    void should_forward_the_failure_of_the_only_run_when_another_request_succeeds() {
+        // given
+        send("/order/1");
+        send("/order/2");
+
+        // when
+        entry.outcomeListener(sent.get(0).target()).onAnswered(answer(sent.get(0), FAILURE));
+        entry.outcomeListener(sent.get(1).target()).onAnswered(answer(sent.get(1), OK));
+
+        // then
+        assertThat(statuses()).containsExactly(FAILURE, OK).inOrder();
+    }
+
+    @Test
+    void should_forward_one_answer_when_both_attempts_are_answered() {
+        // given
+        send("/read/1");
+        entry.outcomeListener(sent.get(0).target()).onAnswered(answer(sent.get(0), FAILURE));
+        assertThat(sent).hasSize(2);
+
+        // when
+        entry.outcomeListener(sent.get(1).target()).onAnswered(answer(sent.get(1), OK));
+        entry.outcomeListener(sent.get(0).target()).onAnswered(answer(sent.get(0), FAILURE));
+
+        // then
+        assertThat(statuses()).containsExactly(OK);
+        assertThat(replies.get(0).body()).isEqualTo(answer(sent.get(1), OK).getBody());
+    }
+
+    @Test
+    void should_forward_the_failure_that_was_answered_when_the_next_attempt_gets_no_answer() {
+        // given
+        send("/read/1");
+        entry.outcomeListener(sent.get(0).target()).onAnswered(answer(sent.get(0), FAILURE));
+
+        // when
+        SentCall second = sent.get(1);
+        entry.outcomeListener(second.target())
+                .onFailed(
+                        ForwardedFailure.newBuilder()
+                                .setSequence(second.call().getSequence())
+                                .setAttempt(second.call().getAttempt())
+                                .build());
+
+        // then
+        assertThat(statuses()).containsExactly(FAILURE);
+        assertThat(replies.get(0).body()).isEqualTo(answer(sent.get(0), FAILURE).getBody());
+    }
+
+    @Test
+    void should_take_no_outcome_of_an_attempt_that_was_not_made() {
+        // given
+        send("/order/1");
+        SentCall call = sent.get(0);
+
+        // when
+        ForwardedAnswer answer = answer(call, OK).toBuilder().setAttempt(2).build();
+        entry.outcomeListener(call.target()).onAnswered(answer);
+
+        // then
+        assertThat(replies).isEmpty();
+    }
+
+    private void send(String path) {
+        entry.handle(
+                new CallerRequest(
+                        "r", "GET", "shop.example", path, List.of(), ByteString.EMPTY, 1000, 1),
+                replies::add);
+    }
+
+    private List<Integer> statuses() {
+        return replies.stream().map(CallerReply::status).toList();
+    }
+
+    private static NodeId other(NodeId node) {
+        return new NodeId(node.value().equals("one") ? "two" : "one");
+    }
+
+    private static ForwardedAnswer answer(SentCall call, int status) {
+        return ForwardedAnswer.newBuilder()
+                .setSequence(call.call().getSequence())
+                .setAttempt(call.call().getAttempt())
+                .setStatus(status)
+                .setBody(ByteString.copyFromUtf8(status + " of " + call.call().getAttempt()))
+                .build();
+    }
+
+    private static FleetMember member(String node, int number) {
+        return FleetMember.newBuilder()
+                .setNodeId(node)
+                .setService(BOOKS.value())
+                .setAddress("127.0.0." + number + ":1")
+                .setRegion("home")
+                .setDataCentre("home-1")
+                .setSlots(9)
+                .build();
+    }
+
+    private static Route route(String name, boolean idempotent) {
+        return new Route(
+                name,
+                "shop.example",
+                "/" + name + "/",
+                idempotent,
+                2000,
+                800,
+                1,
+                List.of(new WeightedService(BOOKS, 1)),
+                2);
+    }
+
+    private static final class NoQuarantine implements QuarantinedRequests {
+        @Override
+        public boolean hasAny() {
+            return false;
+        }
+
+        @Override
+        public boolean contains(RequestFingerprint request) {
+            return false;
+        }
+    }
+
+    /** A link that is up and records the calls. */
+    private final class RecordingLink implements CallLink {
+        private final NodeId target;
+
+        RecordingLink(NodeId target) {
+            this.target = target;
+        }
+
+        @Override
+        public boolean isUp() {
+            return true;
+        }
+
+        @Override
+        public boolean isFailing() {
+            return false;
+        }
+
+        @Override
+        public long targetIncarnation() {
+            return 1;
+        }
+
+        @Override
+        public void open() {}
+
+        @Override
+        public void send(ForwardedCall call) {
+            sent.add(new SentCall(target, call));
+        }
+
+        @Override
+        public void send(CallSeal seal) {}
+
+        @Override
+        public void send(CallCancel cancel) {}
+
+        @Override
+        public void send(FleetNews update) {}
+
+        @Override
+        public void send(ReaderSign sign) {}
+
+        @Override
+        public void send(FleetRequest request) {}
+
+        @Override
+        public void close() {}
+    }
+}
