Process no frame of a target before its hello

What callers would see: an outcome that a target sends before it has said who it is was reported to the exchange that bears its sequence. Addresses of nodes that are gone are used again, so that the sender may be another node. No such target was seen; the entry's end lacked the check that the target's end has.

Change: a frame before the hello closes the link, as in IncomingLink.

Evidence: OutgoingLinkTest at a real socket.

FrameCodecTest guards what held before: a part of a frame that arrives with the hello is kept when the decoder is replaced, cut at each byte, and a part at the end of a connection reaches neither its handler nor another connection.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/link/OutgoingLink.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/OutgoingLink.java
@@ -34,8 +34,8 @@
  * arrives: connections can stall for good while new ones work.
  *
  * <p>Confined to the event loop. Invariants: each connection has a greater link number than the one
- * before; no call is written before the target's hello; calls that were never written are reported
- * as unsent, calls that were written to a lost connection as lost.
+ * before; no call is written, and no other frame processed, before the target's hello; calls that
+ * were never written are reported as unsent, calls that were written to a lost connection as lost.
  */
 final class OutgoingLink implements CallLink {
     /** Silence after which a ping is sent; several round trips between regions. */
@@ -297,6 +297,10 @@
 
     private void onFrame(LinkFrame frame) {
         lastReceivedAt = timers.now();
+        if (!helloReceived && !frame.hasHello()) {
+            channel.close();
+            return;
+        }
         switch (frame.getBodyCase()) {
             case HELLO -> onHello(frame.getHello());
             case ANSWER -> {
