Let readers take their answers before a planned stop closes connections

What callers saw: after SIGTERM, a caller that reads a long answer slowly had it cut, although its request had been passed on and answered (LOST). An entry that was still reading an answer over its link lost it too; it then told its caller "unknown" for a request that must not be repeated.

Cause: a request counted as ended when its reply was handed to the connection. The stop then waited 50 ms and closed all connections, which discards what the connection has not written.

Fix: the server of callers and the server of links know of replies and outcomes that are not written yet, and the last phase of the stop lasts until there are none, until 0.3 s before the stop timeout at the latest. A stop without such replies takes as long as before. What a connection's kernel buffer has taken is delivered after the process has ended; a reader too slow for the stop timeout is still cut.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/GracefulStop.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/GracefulStop.java
@@ -5,26 +5,30 @@
 import org.damaskmoor.relay.internal.time.Timers;
 
 /**
- * Runs a planned stop: callers get time to go elsewhere, then new requests are refused, and the
- * stop ends when no request is open or its time is over.
+ * Runs a planned stop: callers get time to go elsewhere, then new requests are refused until no
+ * request is open, and the stop ends when all replies have been taken.
  *
- * <p>Confined to the event loop.
+ * <p>Confined to the event loop. Invariant: each phase ends before the stop timeout.
  */
 final class GracefulStop {
-    /** Time to write the last replies before connections are closed. */
+    /** Least time between the last replies and the closing of their connections. */
     private static final long FLUSH_MILLISECONDS = 50;
 
     /** Time for the platform to notice that the node is not ready, and for callers to leave. */
     private static final long LEAVE_MILLISECONDS = 2600;
 
+    /** Part of the stop timeout that is reserved for the replies to requests that are open then. */
+    private static final long REPLY_MILLISECONDS = 900;
+
     /** Part of the stop timeout that is reserved for closing connections. */
-    private static final long MARGIN_MILLISECONDS = 900;
+    private static final long CLOSE_MILLISECONDS = 300;
 
     private static final long CHECK_INTERVAL_MILLISECONDS = 50;
 
     private final Timers timers;
     private final long stopMilliseconds;
     private boolean running;
+    private long startedAt;
 
     GracefulStop(Timers timers, long stopMilliseconds) {
         this.timers = timers;
@@ -37,9 +41,10 @@
 
     CompletableFuture<Void> run(Runnable rejectNewRequests, BooleanSupplier idle) {
         running = true;
+        startedAt = timers.now();
         CompletableFuture<Void> ended = new CompletableFuture<>();
-        long rejectAt = timers.now() + Math.min(LEAVE_MILLISECONDS, stopMilliseconds / 2);
-        long endAt = timers.now() + stopMilliseconds - MARGIN_MILLISECONDS;
+        long rejectAt = startedAt + Math.min(LEAVE_MILLISECONDS, stopMilliseconds / 2);
+        long endAt = startedAt + stopMilliseconds - REPLY_MILLISECONDS;
         check(rejectNewRequests, idle, rejectAt, endAt, ended);
         return ended;
     }
@@ -63,10 +68,19 @@
                 () -> check(rejectNewRequests, idle, rejectAt, endAt, ended));
     }
 
-    /** Completes when the last replies have had time to be written. */
-    CompletableFuture<Void> flushReplies() {
-        CompletableFuture<Void> written = new CompletableFuture<>();
-        timers.schedule(FLUSH_MILLISECONDS, () -> written.complete(null));
-        return written;
+    /** Completes when all replies have been taken, or shortly before the end of the timeout. */
+    CompletableFuture<Void> flushReplies(BooleanSupplier flushed) {
+        CompletableFuture<Void> ended = new CompletableFuture<>();
+        long endAt = startedAt + stopMilliseconds - CLOSE_MILLISECONDS;
+        timers.schedule(FLUSH_MILLISECONDS, () -> checkFlushed(flushed, endAt, ended));
+        return ended;
+    }
+
+    private void checkFlushed(BooleanSupplier flushed, long endAt, CompletableFuture<Void> ended) {
+        if (flushed.getAsBoolean() || timers.now() >= endAt) {
+            ended.complete(null);
+            return;
+        }
+        timers.schedule(CHECK_INTERVAL_MILLISECONDS, () -> checkFlushed(flushed, endAt, ended));
     }
 }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/NodePorts.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/NodePorts.java
@@ -37,6 +37,11 @@
                 .orElseGet(() -> CompletableFuture.completedFuture(null));
     }
 
+    /** Whether callers and other nodes have taken all that was answered. */
+    boolean isFlushed() {
+        return !callers.hasUnwrittenReplies() && !links.hasUnwrittenOutcomes();
+    }
+
     /** Closes all ports. */
     void stop() {
         callers.stop();
--- a/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
@@ -280,7 +280,7 @@
                                         && ports.callers().isIdle()
                                         && target.isIdle())
                 .thenRun(entry::finishAll)
-                .thenCompose(done -> stop.flushReplies())
+                .thenCompose(done -> stop.flushReplies(ports::isFlushed))
                 .thenRun(this::close);
     }
 
--- a/relay/src/main/java/org/damaskmoor/relay/internal/caller/CallerConnection.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/caller/CallerConnection.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -53,6 +54,7 @@
     private boolean isHeadRequest;
     private boolean keepAlive = true;
     private boolean closing;
+    private int unwrittenReplies;
     private Runnable onDisconnect = () -> {};
 
     CallerConnection(CallerServer server) {
@@ -178,7 +180,7 @@
         closing = close;
         serving = false;
         idleSince = server.now();
-        var written = context.writeAndFlush(response);
+        ChannelFuture written = write(response);
         if (close) {
             written.addListener(ChannelFutureListener.CLOSE);
         } else if (!pipelined.isEmpty()) {
@@ -186,6 +188,11 @@
         }
     }
 
+    private ChannelFuture write(FullHttpResponse response) {
+        unwrittenReplies++;
+        return context.writeAndFlush(response).addListener(done -> unwrittenReplies--);
+    }
+
     /**
      * Other nodes may pass on an answer that is no valid HTTP message. Its request has run, so the
      * reply does not say that it did not.
@@ -234,7 +241,7 @@
         FullHttpResponse response =
                 response(CallerReply.ofText(status, "The request was not read."));
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        write(response).addListener(ChannelFutureListener.CLOSE);
     }
 
     /**
@@ -260,6 +267,11 @@
         return serving || head != null;
     }
 
+    /** Whether the caller's connection has not yet taken all replies. */
+    boolean hasUnwrittenReplies() {
+        return unwrittenReplies > 0;
+    }
+
     void close() {
         context.close();
     }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/caller/CallerServer.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/caller/CallerServer.java
@@ -99,6 +99,11 @@
         return connections.stream().noneMatch(CallerConnection::isBusy);
     }
 
+    /** Whether some callers have not yet taken their replies. */
+    public boolean hasUnwrittenReplies() {
+        return connections.stream().anyMatch(CallerConnection::hasUnwrittenReplies);
+    }
+
     /** Closes the port and all connections. */
     public void stop() {
         if (serverChannel != null) {
--- a/relay/src/main/java/org/damaskmoor/relay/internal/link/IncomingLink.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/IncomingLink.java
@@ -1,5 +1,6 @@
 package org.damaskmoor.relay.internal.link;
 
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import org.damaskmoor.core.id.Incarnation;
@@ -30,6 +31,7 @@
     private long linkNumber;
     private boolean fenced;
     private boolean acceptsCalls;
+    private int unwrittenOutcomes;
 
     IncomingLink(LinkServer server, IncomingLinkHandler handler, ConnectionFailureLog failureLog) {
         this.server = server;
@@ -45,6 +47,11 @@
         return linkNumber;
     }
 
+    /** Whether the link has not yet taken all outcomes of calls. */
+    boolean hasUnwrittenOutcomes() {
+        return unwrittenOutcomes > 0;
+    }
+
     /** Ignores all further frames and closes the link. */
     void fence() {
         fenced = true;
@@ -139,22 +146,22 @@
 
     @Override
     public void onAnswered(ForwardedAnswer answer) {
-        write(LinkFrame.newBuilder().setAnswer(answer));
+        writeOutcome(LinkFrame.newBuilder().setAnswer(answer));
     }
 
     @Override
     public void onRefused(ForwardedRefusal refusal) {
-        write(LinkFrame.newBuilder().setRefusal(refusal));
+        writeOutcome(LinkFrame.newBuilder().setRefusal(refusal));
     }
 
     @Override
     public void onFailed(ForwardedFailure failure) {
-        write(LinkFrame.newBuilder().setFailure(failure));
+        writeOutcome(LinkFrame.newBuilder().setFailure(failure));
     }
 
     @Override
     public void onSealed(CallSealed sealed) {
-        write(LinkFrame.newBuilder().setSealed(sealed));
+        writeOutcome(LinkFrame.newBuilder().setSealed(sealed));
     }
 
     @Override
@@ -162,7 +169,12 @@
         write(LinkFrame.newBuilder().setLoad(load));
     }
 
-    private void write(LinkFrame.Builder frame) {
-        context.writeAndFlush(frame.build());
+    private void writeOutcome(LinkFrame.Builder frame) {
+        unwrittenOutcomes++;
+        write(frame).addListener(done -> unwrittenOutcomes--);
+    }
+
+    private ChannelFuture write(LinkFrame.Builder frame) {
+        return context.writeAndFlush(frame.build());
     }
 }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/link/LinkServer.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/LinkServer.java
@@ -68,6 +68,11 @@
         links.values().forEach(link -> link.onLoad(load));
     }
 
+    /** Whether some links have not yet taken the outcomes of calls. */
+    public boolean hasUnwrittenOutcomes() {
+        return links.values().stream().anyMatch(IncomingLink::hasUnwrittenOutcomes);
+    }
+
     /** Closes the port and all links. */
     public void stop() {
         if (serverChannel != null) {
