Share the event loop fairly between answers of the upstream

Callers of a node waited up to 3.6 s for a request of a few milliseconds, past its route's timeout of 2 s, while the upstream sent endless answers to 60 other requests; some of those ended with "Cannot reserve 4194304 bytes of direct buffer memory".

Cause: the event loop reads up to 16 buffers of 64 KB from a connection before the next one has its turn. A body of short chunks costs far more time per byte than one without, so 60 connections occupied the loop for seconds. Besides, a decoder that keeps an incomplete line drops the bytes before it only after the last of these reads, so that it held about 1 MB of direct memory for each connection.

Change: a connection to the upstream reads at most 16 KB in one turn of the event loop. The time until others have their turn, and what the decoder keeps between turns, are bounded by that for any content. The bytes of a proper answer are not bounded further.

The decoder bounds empty lines before a status line only if more than one line's length arrives in one read.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnectionPool.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnectionPool.java
@@ -1,6 +1,7 @@
 package org.damaskmoor.relay.internal.target;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -31,10 +32,16 @@
 final class UpstreamConnectionPool {
     private static final int CONNECT_TIMEOUT_MILLISECONDS = 500;
 
+    /**
+     * Less than {@link #MAX_READ_BYTES}, because the decoder bounds the empty lines before a status
+     * line by this length within one read.
+     */
+    private static final int MAX_STATUS_LINE_BYTES = 8 * 1024;
+
     /** A header that no reply to a caller may contain makes the whole answer unreadable. */
     private static final HttpDecoderConfig DECODING =
             new HttpDecoderConfig()
-                    .setMaxInitialLineLength(16 * 1024)
+                    .setMaxInitialLineLength(MAX_STATUS_LINE_BYTES)
                     .setMaxHeaderSize(64 * 1024)
                     .setMaxChunkSize(64 * 1024)
                     .setValidateHeaders(true);
@@ -42,6 +49,12 @@
     /** Bytes of incomplete answers that are buffered together; a quarter of a 96 MB heap. */
     private static final long MAX_BUFFERED_BYTES = 24 * 1024 * 1024;
 
+    private static final int MIN_READ_BYTES = 64;
+    private static final int INITIAL_READ_BYTES = 2 * 1024;
+
+    /** Bytes that a connection reads in one turn of the event loop, before others have theirs. */
+    private static final int MAX_READ_BYTES = 16 * 1024;
+
     /** Timeout of a health check; short, because calls may wait for its result. */
     private static final long CHECK_TIMEOUT_MILLISECONDS = 30;
 
@@ -80,6 +93,11 @@
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
                         .option(ChannelOption.TCP_NODELAY, true)
+                        .option(
+                                ChannelOption.RCVBUF_ALLOCATOR,
+                                new AdaptiveRecvByteBufAllocator(
+                                                MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
+                                        .maxMessagesPerRead(1))
                         .handler(
                                 new ChannelInitializer<>() {
                                     @Override
