Bound the number of header fields in an answer of the upstream

A faulty upstream that sent heads or trailers of short header fields, within the bound of 64 KB for each, ended the relay: its heap of 96 MB was used up, its event loop ended with an OutOfMemoryError, and the requests of all other callers had no answer. The process itself stayed.

Cause: the decoder bounds the bytes of the fields, not counting line ends, so that 32,000 fields "a:" fit; in memory each is many times larger. 60 such heads that never end are kept until the deadlines of their calls.

Change: an answer has at most 256 header fields, and as many in its trailers. One with more can't be read, like one whose head is too long, and its connection is closed.

Evidence: the two new tests failed before, with the fair reads already in place: 'Exception in thread "nioEventLoopGroup-2-1" java.lang.OutOfMemoryError: Java heap space', and no other request was answered within 6 s. With the change no memory runs out. Both passed in one run; in another, at a load average of 75 on 8 cores, the one for trailers failed its time bound alone: one other request took 1537 ms, and the bound is 1500 ms.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnectionPool.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnectionPool.java
@@ -17,6 +17,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.damaskmoor.core.buffer.BufferBudget;
+import org.damaskmoor.platform.http.BoundedHeadersFactory;
 import org.damaskmoor.relay.internal.log.EventLog;
 import org.damaskmoor.relay.internal.time.Timers;
 import org.damaskmoor.schema.link.ForwardedCall;
@@ -32,6 +33,9 @@
 final class UpstreamConnectionPool {
     private static final int CONNECT_TIMEOUT_MILLISECONDS = 500;
 
+    /** Header fields of an answer, and again of its trailers. */
+    private static final int MAX_HEADER_FIELDS = 256;
+
     /**
      * Less than {@link #MAX_READ_BYTES}, because the decoder bounds the empty lines before a status
      * line by this length within one read.
@@ -44,7 +48,8 @@
                     .setMaxInitialLineLength(MAX_STATUS_LINE_BYTES)
                     .setMaxHeaderSize(64 * 1024)
                     .setMaxChunkSize(64 * 1024)
-                    .setValidateHeaders(true);
+                    .setHeadersFactory(BoundedHeadersFactory.headers(MAX_HEADER_FIELDS))
+                    .setTrailersFactory(BoundedHeadersFactory.trailers(MAX_HEADER_FIELDS));
 
     /** Bytes of incomplete answers that are buffered together; a quarter of a 96 MB heap. */
     private static final long MAX_BUFFERED_BYTES = 24 * 1024 * 1024;
--- a/relay/src/test/java/org/damaskmoor/relay/EndlessAnswerMemoryTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/EndlessAnswerMemoryTest.java
@@ -28,6 +28,9 @@
     private static final int MAX_NOT_SERVED = 3;
     private static final int SLOTS = 80;
 
+    /** Nearly as much of short fields as the decoder allows, which does not count line ends. */
+    private static final int HEAD_BYTES = 125_000;
+
     private static final int TIMEOUT_MILLISECONDS = 6000;
 
     /** Time in which the other requests must be answered; the route's timeout is 2 s. */
@@ -57,6 +60,19 @@
         threads.shutdownNow();
     }
 
+    @Test
+    void should_serve_other_callers_when_heads_have_many_short_fields() throws Exception {
+        expectOthersServed(
+                "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n", "a:\r\n".repeat(100), HEAD_BYTES);
+    }
+
+    @Test
+    void should_serve_other_callers_when_trailers_have_many_short_fields() throws Exception {
+        expectOthersServed(
+                "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                "a:\r\n".repeat(100), HEAD_BYTES);
+    }
+
     @Test
     void should_serve_other_callers_when_bodies_have_no_end() throws Exception {
         expectOthersServed(
