Read at most 4 KB of an answer in one turn of the event loop

With 16 KB, other requests still took up to 2386 ms beside 60 endless answers in short chunks at a load average of 75 on 8 cores (EndlessAnswerMemoryTest failed). Each turn decodes at most a quarter of that now. The bound of a status line, which must be less than a read, is 3 KB.

Evidence: at load averages of 72 to 59, EndlessAnswerMemoryTest (6 tests) and EndlessMessageTest (17) passed, once. More reads for a large answer cost processor time; this was not measured.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnectionPool.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnectionPool.java
@@ -40,7 +40,7 @@
      * Less than {@link #MAX_READ_BYTES}, because the decoder bounds the empty lines before a status
      * line by this length within one read.
      */
-    private static final int MAX_STATUS_LINE_BYTES = 8 * 1024;
+    private static final int MAX_STATUS_LINE_BYTES = 3 * 1024;
 
     /** A header that no reply to a caller may contain makes the whole answer unreadable. */
     private static final HttpDecoderConfig DECODING =
@@ -58,7 +58,7 @@
     private static final int INITIAL_READ_BYTES = 2 * 1024;
 
     /** Bytes that a connection reads in one turn of the event loop, before others have theirs. */
-    private static final int MAX_READ_BYTES = 16 * 1024;
+    private static final int MAX_READ_BYTES = 4 * 1024;
 
     /** Timeout of a health check; short, because calls may wait for its result. */
     private static final long CHECK_TIMEOUT_MILLISECONDS = 30;
