Answer pipelined requests before a stopping relay closes their connection

What callers saw: a caller that had sent two requests one after the other on a connection got the first answer after SIGTERM, with "Connection: close", and never one to the second, which had been read whole; up to 0.7 s after it had been sent (LOST).

Cause: a stopping relay closes each connection with its next reply, and dropped the requests that had already arrived behind the answered one.

Evidence: PlannedStopRequestsTest sends requests at any moment of a stop of 6 s, on kept and new connections and pipelined, with work of 0.05 to 4 s, idempotent and not. It failed before (34 requests read and not answered, nothing else) and passes now.

Fix: the connection closes with the reply to the last request that has arrived, and counts as busy until then. A request that is refused at once is answered before those behind it have been read; its refusal closes the connection as before, and they are not run.

The same test guards what held before: each request gets its own answer or an honest refusal, none is cut that was run, and only work that an upstream was still at in the last sixth of the time ends unknown.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/caller/CallerConnection.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/caller/CallerConnection.java
@@ -171,7 +171,8 @@
         if (!context.channel().isActive()) {
             return;
         }
-        boolean close = !keepAlive || server.isClosing();
+        // A request that has arrived already must not be dropped with the connection.
+        boolean close = !keepAlive || (server.isClosing() && pipelined.isEmpty());
         FullHttpResponse response = validResponse(reply, id);
         response.headers().set(HeaderNames.REQUEST_ID, id);
         if (close) {
@@ -262,9 +263,9 @@
         }
     }
 
-    /** Whether a request is being read or served. */
+    /** Whether a request is being read or served, or waits for that. */
     boolean isBusy() {
-        return serving || head != null;
+        return serving || head != null || !pipelined.isEmpty();
     }
 
     /** Whether the caller's connection has not yet taken all replies. */
