Refuse waiting calls while their target still can say so

What callers saw: a request that must not be repeated, sent through another relay, waited at a target that got SIGTERM. It got 504, "unknown whether the request ran", although it had not run and never did.

Cause: a stopping target refused new calls but kept those that waited in its queue. They were handed over late in the stop, where they were cut at its end, or were lost with the link, without the refusal that would have let the entry try another target or say that nothing had run.

Evidence: should_refuse_a_call_that_waits_when_its_target_stops (one upstream with one slot, a running and a waiting call) failed before with 504 and passes now with 503.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
@@ -273,7 +273,7 @@
         CompletableFuture<Void> recordRemoved =
                 upstreamLeaving ? ownRecord.remove() : CompletableFuture.completedFuture(null);
         return stop.run(
-                        entry::rejectNewRequests,
+                        this::rejectNewWork,
                         () ->
                                 recordRemoved.isDone()
                                         && departures.isWritten()
@@ -284,6 +284,11 @@
                 .thenRun(this::close);
     }
 
+    private void rejectNewWork() {
+        entry.rejectNewRequests();
+        target.refuseWaitingCalls();
+    }
+
     private void close() {
         memberWatch.stop();
         configurationWatch.stop();
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetCallHandler.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetCallHandler.java
@@ -218,6 +218,13 @@
         callbacks.onUpstreamChanged();
     }
 
+    /** Refuses the calls that wait, because they could not end before this node stops. */
+    public void refuseWaitingCalls() {
+        for (TargetCall waiting : queue.drainAll()) {
+            openCalls.refuse(waiting, RefusalReason.DRAINING, 0);
+        }
+    }
+
     /**
      * Drops expired entries of the ledger, and asks a silent upstream whether its request limit
      * still holds. Call it about once a second.
--- a/relay/src/test/java/org/damaskmoor/relay/RelayFailureTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/RelayFailureTest.java
@@ -267,6 +267,29 @@
         assertThat((System.nanoTime() - started) / 1_000_000).isLessThan(1900L);
     }
 
+    @Test
+    void should_refuse_a_call_that_waits_when_its_target_stops() throws Exception {
+        // given an upstream that runs one request at a time
+        target.announce("i-1", 100, 2, "ready", 1);
+        upstream.setScript((request, connection) -> Thread.sleep(10_000));
+        CompletableFuture<RawCaller.Answer> running =
+                CompletableFuture.supplyAsync(
+                        () -> sendRequestUnchecked(RawCaller.post("/order/1", "r1", "body")));
+        TestFleet.await(() -> upstream.runCount("r1") == 1);
+        CompletableFuture<RawCaller.Answer> waiting =
+                CompletableFuture.supplyAsync(
+                        () -> sendRequestUnchecked(RawCaller.post("/order/1", "r2", "body")));
+        Thread.sleep(200);
+
+        // when
+        target.stop().get();
+
+        // then
+        assertThat(waiting.get().status()).isEqualTo(503);
+        assertThat(running.get().status()).isIn(List.of(502, 504));
+        assertThat(upstream.runCount("r2")).isEqualTo(0);
+    }
+
     @Test
     void should_run_once_and_report_unknown_when_the_target_dies_during_a_non_idempotent_call()
             throws Exception {
