Soak: let upstreams stutter, and check the status of each answer

The soak could not see this: its upstreams answered every run with 200, sent second copies whole, with id and length only, and all their answers to a request bore one stamp.

The fault STUTTER makes an upstream answer a part of its requests with 500 or refuse them, and send second copies of its answers: whole or cut at any byte, in one to three writes, in the write of the answer, after it, before the next answer, or both; with, without and with a spoiled id; with length, chunked, and ending with the connection. Some chunked answers are cut in their body and followed by the whole copy. What an upstream sent is in upstream-N.log beside the relays' logs.

Each run has a stamp of its own now, and the ledger keeps the status that went with it. NOT_ITS_STATUS is a success without the stamp of a run of this request, or any answer whose stamp belongs to a run with another status. The body of a stamped failure is checked as that of a success was.

Tests: GuaranteeCheckerTest, FaultPlannerTest.

--- a/soak/src/main/java/org/damaskmoor/soak/FaultExecutor.java
+++ b/soak/src/main/java/org/damaskmoor/soak/FaultExecutor.java
@@ -103,7 +103,7 @@
             case KILL_RELAY, PAUSE_RELAY, STOP_RELAY, RELOAD_RELAY -> "relay-" + relay;
             case KILL_UPSTREAM, FREEZE_UPSTREAM, DRAIN_UPSTREAM, LIMIT_UPSTREAM, SET_CLOCK_BACK ->
                     "upstream-" + relay;
-            case SPOIL_ANSWERS -> "answers-" + relay;
+            case SPOIL_ANSWERS, STUTTER -> "answers-" + relay;
             case STORE_UNAVAILABLE,
                     STORE_SILENT,
                     STORE_LOSES_ANSWERS,
@@ -153,6 +153,7 @@
                             node.upstream()
                                     .nameLimit(LIMIT_PER_SECOND, MIN_LIMIT_MILLISECONDS + duration);
             case SPOIL_ANSWERS -> () -> spoilAnswers(node, duration);
+            case STUTTER -> () -> stutter(node, fault.subject(), duration);
             case SET_CLOCK_BACK -> () -> setClockBack(node, duration);
             case DELAY_LINKS -> () -> disturb(node.linkProxy(), Mode.DELAY, LINKS, relay, duration);
             case RESET_LINKS -> () -> disturb(node.linkProxy(), Mode.RESET, LINKS, relay, duration);
@@ -275,6 +276,13 @@
         node.upstream().spoilAnswers(false);
     }
 
+    private static void stutter(SoakSite.Node node, long seed, long duration)
+            throws InterruptedException {
+        node.upstream().startStuttering(seed);
+        Thread.sleep(MIN_SPOILED_MILLISECONDS + duration);
+        node.upstream().stopStuttering();
+    }
+
     /** Restarts the upstream after its clock was set back, and drains it by announcements only. */
     private static void setClockBack(SoakSite.Node node, long duration)
             throws IOException, InterruptedException {
--- a/soak/src/main/java/org/damaskmoor/soak/SoakCaller.java
+++ b/soak/src/main/java/org/damaskmoor/soak/SoakCaller.java
@@ -94,12 +94,14 @@
         End end = End.ANSWERED;
         int status = 0;
         boolean own = true;
+        String stamp = "";
         boolean usable = true;
         try {
             RawCaller.Answer answer = connection.readAnswer();
             status = answer.status();
             end = answer.isNotRun() ? End.SAID_NOT_RUN : End.ANSWERED;
-            own = status != OK || answer.isOwn(id);
+            stamp = answer.headers().getOrDefault("server-stamp", "");
+            own = (status != OK && stamp.isEmpty()) || answer.isOwn(id);
             usable = !"close".equalsIgnoreCase(answer.headers().get("connection"));
         } catch (SocketTimeoutException silent) {
             end = End.NO_ANSWER;
@@ -113,7 +115,16 @@
         }
         exchanges.add(
                 new Exchange(
-                        id, relay, order, version, sentAt, clock.getAsLong(), end, status, own));
+                        id,
+                        relay,
+                        order,
+                        version,
+                        sentAt,
+                        clock.getAsLong(),
+                        end,
+                        status,
+                        stamp,
+                        own));
         return usable;
     }
 }
--- a/soak/src/main/java/org/damaskmoor/soak/SoakCommand.java
+++ b/soak/src/main/java/org/damaskmoor/soak/SoakCommand.java
@@ -8,7 +8,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.Callable;
+import org.damaskmoor.soak.fault.FaultKind;
 
 /**
  * Runs relays as processes under random faults and checks their guarantees.
@@ -45,6 +47,11 @@
     @Option(name = "--relay-jar", description = "Relay jar under test")
     private String relayJar = "relay/target/damaskmoor-relay.jar";
 
+    @Option(
+            name = "--only",
+            description = "Inject faults of this kind alone, in close succession: a FaultKind")
+    private FaultKind only;
+
     @Override
     public Integer call() throws Exception {
         if (help.showHelpIfRequested()) {
@@ -60,7 +67,7 @@
             Path directory = Files.createTempDirectory("damaskmoor-soak-" + current + "-");
             System.out.println("seed=" + current + " logs=" + directory);
             SoakRun.Result result =
-                    new SoakRun(jar, directory, relays)
+                    new SoakRun(jar, directory, relays, Optional.ofNullable(only))
                             .run(current, seconds * MILLISECONDS_PER_SECOND);
             result.violations().forEach(System.out::println);
             System.out.println(
--- a/soak/src/main/java/org/damaskmoor/soak/SoakRun.java
+++ b/soak/src/main/java/org/damaskmoor/soak/SoakRun.java
@@ -5,11 +5,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.damaskmoor.soak.fault.FaultKind;
 import org.damaskmoor.soak.fault.FaultPlanner;
 import org.damaskmoor.soak.fault.PlannedFault;
 import org.damaskmoor.soak.verification.DisturbanceLog;
@@ -34,15 +36,17 @@
     private final Path jar;
     private final Path directory;
     private final int relays;
+    private final Optional<FaultKind> only;
     private final long startNanoseconds = System.nanoTime();
 
     /** Result of a run: one line for each violation, and the number of requests by outcome. */
     record Result(List<String> violations, Map<String, Integer> outcomes) {}
 
-    SoakRun(Path jar, Path directory, int relays) {
+    SoakRun(Path jar, Path directory, int relays, Optional<FaultKind> only) {
         this.jar = jar;
         this.directory = directory;
         this.relays = relays;
+        this.only = only;
     }
 
     private long now() {
@@ -65,11 +69,13 @@
             injectFaults(
                     site,
                     executor,
-                    new FaultPlanner(
+                    plan(
+                            new FaultPlanner(
                                     random.split(),
                                     new SplittableRandom(~seed),
-                                    new SplittableRandom(Long.reverse(seed)))
-                            .plan(loadMilliseconds),
+                                    new SplittableRandom(Long.reverse(seed)),
+                                    new SplittableRandom(Long.reverse(~seed))),
+                            loadMilliseconds),
                     random);
             violations.addAll(executor.awaitAll());
             violations.addAll(unrecoveredRelays(site, exchanges));
@@ -96,6 +102,11 @@
         return new Result(violations, outcomes);
     }
 
+    private List<PlannedFault> plan(FaultPlanner planner, long milliseconds) {
+        return only.map(kind -> planner.planOnly(kind, milliseconds))
+                .orElseGet(() -> planner.plan(milliseconds));
+    }
+
     private static String outcomeName(Exchange exchange) {
         return exchange.status() == 0
                 ? exchange.end().name()
--- a/soak/src/main/java/org/damaskmoor/soak/SoakSite.java
+++ b/soak/src/main/java/org/damaskmoor/soak/SoakSite.java
@@ -1,8 +1,11 @@
 package org.damaskmoor.soak;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -106,13 +109,31 @@
         return new Node(
                 new RelayProcess(jar, directory, name, settings, ready),
                 settings,
-                new SoakUpstream(number, upstream.getPort(), announcements, ledger, clock),
+                new SoakUpstream(
+                        number,
+                        upstream.getPort(),
+                        announcements,
+                        ledger,
+                        clock,
+                        line -> append(directory.resolve("upstream-" + number + ".log"), line)),
                 new FaultInjectingProxy(ports.allocate(), callers, clock),
                 linkProxy,
                 storeProxy,
                 upstreamProxy);
     }
 
+    private static void append(Path file, String line) {
+        try {
+            Files.writeString(
+                    file,
+                    "time=" + System.currentTimeMillis() + " " + line + "\n",
+                    StandardOpenOption.CREATE,
+                    StandardOpenOption.APPEND);
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
     private static String hostAndPort(InetSocketAddress address) {
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
--- a/soak/src/main/java/org/damaskmoor/soak/SoakUpstream.java
+++ b/soak/src/main/java/org/damaskmoor/soak/SoakUpstream.java
@@ -4,10 +4,13 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.damaskmoor.platform.standin.AnnouncementClient;
 import org.damaskmoor.platform.standin.UpstreamStandIn;
@@ -44,6 +47,8 @@
     private final InetSocketAddress announcements;
     private final RunLedger ledger;
     private final LongSupplier clock;
+    private final Consumer<String> log;
+    private final AtomicInteger runs = new AtomicInteger();
     private final List<Notice> notices = new CopyOnWriteArrayList<>();
     private final Map<String, Long> drainAcknowledgedAt = new ConcurrentHashMap<>();
     private final Object freezeLock = new Object();
@@ -51,6 +56,7 @@
     private volatile boolean frozen;
     private volatile boolean closed;
     private volatile boolean spoilsAnswers;
+    private volatile Optional<StutteringAnswers> stuttering = Optional.empty();
     private long wallClockOffset = FIRST_WALL_CLOCK_OFFSET;
     private int incarnations;
 
@@ -62,12 +68,14 @@
             int port,
             InetSocketAddress announcements,
             RunLedger ledger,
-            LongSupplier clock) {
+            LongSupplier clock,
+            Consumer<String> log) {
         this.relay = relay;
         this.port = port;
         this.announcements = announcements;
         this.ledger = ledger;
         this.clock = clock;
+        this.log = log;
     }
 
     /** Starts a new incarnation. */
@@ -106,6 +114,16 @@
         spoilsAnswers = spoil;
     }
 
+    /** Answers some requests with status 500, and sends second copies, from now on. */
+    void startStuttering(long seed) {
+        stuttering = Optional.of(new StutteringAnswers(seed, log));
+    }
+
+    /** Sends no second copies any more. */
+    void stopStuttering() {
+        stuttering = Optional.empty();
+    }
+
     /** Suspends or resumes all work and announcements. */
     void freeze(boolean freeze) {
         synchronized (freezeLock) {
@@ -169,6 +187,11 @@
     private void answer(Incarnation self, Request request, Connection connection)
             throws IOException, InterruptedException {
         awaitUnfrozen();
+        Optional<StutteringAnswers> stutter = stuttering;
+        if (stutter.isPresent()) {
+            answerTwice(self, request, connection, stutter.get());
+            return;
+        }
         if (!self.slots().tryAcquire()) {
             UpstreamStandIn.answerNotRun(connection);
             if (isSpoiled()) {
@@ -178,36 +201,74 @@
             return;
         }
         try {
-            ledger.record(request.id(), new RunLedger.Run(relay, self.id(), clock.getAsLong()));
-            Thread.sleep(
-                    ThreadLocalRandom.current()
-                            .nextLong(MINIMUM_SERVICE_MILLISECONDS, MAXIMUM_SERVICE_MILLISECONDS));
-            awaitUnfrozen();
+            work(self, request);
+            String stamp = stamp(self, request, OK);
             if (isSpoiled()) {
-                answerSpoiled(request, connection);
+                answerSpoiled(request, stamp, connection);
             } else {
-                self.server().answerWithNotice(request, connection);
+                connection.send(answer(request, stamp, self.server().notice()));
             }
         } finally {
             self.slots().release();
         }
     }
 
+    private void answerTwice(
+            Incarnation self, Request request, Connection connection, StutteringAnswers stutter)
+            throws IOException, InterruptedException {
+        String id = request.id();
+        stutter.onRequest(id, connection);
+        List<String> copy;
+        if (stutter.refuses(id) || !self.slots().tryAcquire()) {
+            copy = stutter.refuse(id, connection);
+        } else {
+            try {
+                work(self, request);
+                int status = stutter.status(id);
+                String stamp = stamp(self, request, status);
+                String notice = self.server().notice();
+                copy =
+                        stutter.answer(
+                                new StutteringAnswers.Answer(id, stamp, status, notice),
+                                connection);
+            } finally {
+                self.slots().release();
+            }
+        }
+        stutter.sendCopy(id, copy, connection);
+    }
+
+    private void work(Incarnation self, Request request) throws InterruptedException {
+        ledger.record(request.id(), new RunLedger.Run(relay, self.id(), clock.getAsLong()));
+        Thread.sleep(
+                ThreadLocalRandom.current()
+                        .nextLong(MINIMUM_SERVICE_MILLISECONDS, MAXIMUM_SERVICE_MILLISECONDS));
+        awaitUnfrozen();
+    }
+
+    /** Returns the stamp of a run that is about to answer with the given status. */
+    private String stamp(Incarnation self, Request request, int status) {
+        String stamp = self.id() + "." + runs.incrementAndGet();
+        ledger.recordAnswer(stamp, request.id(), status);
+        return stamp;
+    }
+
+    private static String answer(Request request, String stamp, String moreHeaders) {
+        String id = request.id();
+        return UpstreamStandIn.answer(id, stamp, OK, UpstreamStandIn.body(id), moreHeaders);
+    }
+
     private boolean isSpoiled() {
         return spoilsAnswers && ThreadLocalRandom.current().nextInt(SPOILED_INTERVAL) == 0;
     }
 
-    private static void answerSpoiled(Request request, Connection connection)
+    private static void answerSpoiled(Request request, String stamp, Connection connection)
             throws IOException, InterruptedException {
-        String body = UpstreamStandIn.body(request.id());
-        String whole = UpstreamStandIn.answer(request.id(), OK, body);
+        String whole = answer(request, stamp, "");
         String withoutLength = whole.replaceFirst("Content-Length: [0-9]+\r\n", "");
         ThreadLocalRandom random = ThreadLocalRandom.current();
         switch (random.nextInt(4)) {
-            case 0 ->
-                    connection.send(
-                            UpstreamStandIn.answer(
-                                    request.id(), OK, body, "X-Trace: 7f\u0001a5\r\n"));
+            case 0 -> connection.send(answer(request, stamp, "X-Trace: 7f\u0001a5\r\n"));
             case 1 -> {
                 connection.send(whole);
                 Thread.sleep(COPY_DELAY_MILLISECONDS);
--- a/soak/src/main/java/org/damaskmoor/soak/fault/FaultKind.java
+++ b/soak/src/main/java/org/damaskmoor/soak/fault/FaultKind.java
@@ -29,7 +29,8 @@
     LIMIT_UPSTREAM,
     RESTORE_STORE,
     SPOIL_ANSWERS,
-    SET_CLOCK_BACK;
+    SET_CLOCK_BACK,
+    STUTTER;
 
     /** Kinds of the plan that each seed had first; its faults stay the same. */
     static final List<FaultKind> FIRST_KINDS =
@@ -42,4 +43,7 @@
     /** Kinds that were added after those. */
     static final List<FaultKind> LATEST_KINDS =
             List.copyOf(EnumSet.range(SPOIL_ANSWERS, SET_CLOCK_BACK));
+
+    /** Kinds in which upstreams answer twice, added after all others. */
+    static final List<FaultKind> STUTTER_KINDS = List.of(STUTTER);
 }
--- a/soak/src/main/java/org/damaskmoor/soak/fault/FaultPlanner.java
+++ b/soak/src/main/java/org/damaskmoor/soak/fault/FaultPlanner.java
@@ -13,6 +13,7 @@
 public final class FaultPlanner {
     private static final double MEAN_SERIES_INTERVAL_MILLISECONDS = 2000;
     private static final double MEAN_LATER_INTERVAL_MILLISECONDS = 6000;
+    private static final double MEAN_SINGLE_KIND_INTERVAL_MILLISECONDS = 500;
     private static final int MAXIMUM_SERIES_LENGTH = 4;
     private static final long SERIES_WINDOW_MILLISECONDS = 900;
     private static final double MINIMUM_DURATION_MILLISECONDS = 100;
@@ -21,6 +22,7 @@
     private final RandomGenerator random;
     private final RandomGenerator laterRandom;
     private final RandomGenerator latestRandom;
+    private final RandomGenerator stutterRandom;
 
     /**
      * Creates a planner.
@@ -28,12 +30,17 @@
      * @param random for the first kinds of fault
      * @param laterRandom for the kinds added later, so that seeds keep the plan that they had
      * @param latestRandom for the kinds added after those
+     * @param stutterRandom for the kinds in which upstreams answer twice, and for plans of one kind
      */
     public FaultPlanner(
-            RandomGenerator random, RandomGenerator laterRandom, RandomGenerator latestRandom) {
+            RandomGenerator random,
+            RandomGenerator laterRandom,
+            RandomGenerator latestRandom,
+            RandomGenerator stutterRandom) {
         this.random = random;
         this.laterRandom = laterRandom;
         this.latestRandom = latestRandom;
+        this.stutterRandom = stutterRandom;
     }
 
     /** Returns the faults for a load of the given length, ordered by start time. */
@@ -48,21 +55,50 @@
             }
             start += random.nextExponential() * MEAN_SERIES_INTERVAL_MILLISECONDS;
         }
-        addFaults(faults, FaultKind.LATER_KINDS, laterRandom, milliseconds);
-        addFaults(faults, FaultKind.LATEST_KINDS, latestRandom, milliseconds);
+        addFaults(
+                faults,
+                FaultKind.LATER_KINDS,
+                laterRandom,
+                MEAN_LATER_INTERVAL_MILLISECONDS,
+                milliseconds);
+        addFaults(
+                faults,
+                FaultKind.LATEST_KINDS,
+                latestRandom,
+                MEAN_LATER_INTERVAL_MILLISECONDS,
+                milliseconds);
+        addFaults(
+                faults,
+                FaultKind.STUTTER_KINDS,
+                stutterRandom,
+                MEAN_LATER_INTERVAL_MILLISECONDS,
+                milliseconds);
         faults.sort(Comparator.comparingLong(PlannedFault::startMilliseconds));
         return faults;
     }
 
+    /** Returns faults of one kind in close succession, ordered by start time. */
+    public List<PlannedFault> planOnly(FaultKind kind, long milliseconds) {
+        List<PlannedFault> faults = new ArrayList<>();
+        addFaults(
+                faults,
+                List.of(kind),
+                stutterRandom,
+                MEAN_SINGLE_KIND_INTERVAL_MILLISECONDS,
+                milliseconds);
+        return faults;
+    }
+
     private static void addFaults(
             List<PlannedFault> faults,
             List<FaultKind> kinds,
             RandomGenerator random,
+            double meanIntervalMilliseconds,
             long milliseconds) {
-        double start = random.nextExponential() * MEAN_LATER_INTERVAL_MILLISECONDS;
+        double start = random.nextExponential() * meanIntervalMilliseconds;
         while (start < milliseconds) {
             faults.add(fault((long) start, kinds, random));
-            start += random.nextExponential() * MEAN_LATER_INTERVAL_MILLISECONDS;
+            start += random.nextExponential() * meanIntervalMilliseconds;
         }
     }
 
--- a/soak/src/main/java/org/damaskmoor/soak/verification/Exchange.java
+++ b/soak/src/main/java/org/damaskmoor/soak/verification/Exchange.java
@@ -13,7 +13,8 @@
  * @param endedAt when the answer was complete or the connection ended, in milliseconds
  * @param end outcome for the caller
  * @param status HTTP status of the answer; 0 without an answer
- * @param own whether a successful answer was complete and belonged to this request
+ * @param stamp stamp of the upstream's run whose answer this is; empty for an answer of a relay
+ * @param own whether the answer of an upstream was complete and belonged to this request
  */
 public record Exchange(
         String id,
@@ -24,6 +25,7 @@
         long endedAt,
         End end,
         int status,
+        String stamp,
         boolean own) {
     /** Outcome of a request for its caller. */
     public enum End {
--- a/soak/src/main/java/org/damaskmoor/soak/verification/GuaranteeChecker.java
+++ b/soak/src/main/java/org/damaskmoor/soak/verification/GuaranteeChecker.java
@@ -70,11 +70,20 @@
         if (exchange.end() == End.ANSWERED && !exchange.own()) {
             violations.add(line("NOT_ITS_ANSWER", exchange, runs));
         }
+        if (isUpstreamAnswer(exchange)
+                && !ledger.hasAnswer(exchange.stamp(), exchange.id(), exchange.status())) {
+            violations.add(line("NOT_ITS_STATUS", exchange, runs));
+        }
         if (isUnanswered(exchange, runs)) {
             violations.add(line("UNANSWERED", exchange, runs));
         }
     }
 
+    /** A success without a stamp counts as well: relays answer only failures themselves. */
+    private static boolean isUpstreamAnswer(Exchange exchange) {
+        return !exchange.stamp().isEmpty() || exchange.status() == OK;
+    }
+
     private boolean isUnanswered(Exchange exchange, List<Run> runs) {
         if (exchange.end() != End.CLOSED && exchange.end() != End.NO_ANSWER) {
             return false;
--- a/soak/src/main/java/org/damaskmoor/soak/verification/RunLedger.java
+++ b/soak/src/main/java/org/damaskmoor/soak/verification/RunLedger.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 
-/** Records which requests ran at which upstreams. Thread-safe. */
+/** Records which requests ran at which upstreams, and how these answered. Thread-safe. */
 public final class RunLedger {
     /**
      * A run of a request: the relay of the upstream, the upstream's incarnation, and the start
@@ -13,13 +13,30 @@
      */
     public record Run(int relay, String upstream, long at) {}
 
+    private record Answer(String id, int status) {}
+
     private final Map<String, List<Run>> runs = new ConcurrentHashMap<>();
+    private final Map<String, Answer> answers = new ConcurrentHashMap<>();
 
     /** Records a run; must be called before its work begins. */
     public void record(String id, Run run) {
         runs.computeIfAbsent(id, unused -> new CopyOnWriteArrayList<>()).add(run);
     }
 
+    /**
+     * Records the answer of a run; must be called before the answer is sent.
+     *
+     * @param stamp unique among all runs
+     */
+    public void recordAnswer(String stamp, String id, int status) {
+        answers.put(stamp, new Answer(id, status));
+    }
+
+    /** Returns whether a run of the request answered with this stamp and status. */
+    public boolean hasAnswer(String stamp, String id, int status) {
+        return new Answer(id, status).equals(answers.get(stamp));
+    }
+
     /** Returns the runs of a request. */
     public List<Run> runs(String id) {
         return runs.getOrDefault(id, List.of());
--- a/soak/src/test/java/org/damaskmoor/soak/fault/FaultPlannerTest.java
+++ b/soak/src/test/java/org/damaskmoor/soak/fault/FaultPlannerTest.java
@@ -1,6 +1,7 @@
 package org.damaskmoor.soak.fault;
 
 import static com.google.common.truth.Truth.assertThat;
+import static java.util.Comparator.comparingLong;
 
 import java.util.EnumSet;
 import java.util.List;
@@ -44,11 +45,48 @@
         assertThat(kinds).containsExactlyElementsIn(FaultKind.values());
     }
 
+    @Test
+    void should_plan_one_kind_only_when_asked_to() {
+        // when
+        List<PlannedFault> faults = planner(7).planOnly(FaultKind.STUTTER, MINUTE_MILLISECONDS);
+
+        // then
+        assertThat(faults).isInOrder(comparingLong(PlannedFault::startMilliseconds));
+        assertThat(faults.size()).isGreaterThan(60);
+        assertThat(faults.stream().map(PlannedFault::kind).distinct().toList())
+                .containsExactly(FaultKind.STUTTER);
+    }
+
+    @Test
+    void should_keep_the_other_faults_of_a_seed_when_faults_that_stutter_are_added() {
+        // when
+        List<PlannedFault> one = withoutStutter(planner(7, 1));
+        List<PlannedFault> other = withoutStutter(planner(7, 2));
+
+        // then
+        assertThat(one).isNotEmpty();
+        assertThat(one).isEqualTo(other);
+    }
+
+    private static List<PlannedFault> withoutStutter(FaultPlanner planner) {
+        return planner.plan(MINUTE_MILLISECONDS).stream()
+                .filter(fault -> fault.kind() != FaultKind.STUTTER)
+                .toList();
+    }
+
     private static List<PlannedFault> plan(long seed) {
+        return planner(seed).plan(MINUTE_MILLISECONDS);
+    }
+
+    private static FaultPlanner planner(long seed) {
+        return planner(seed, Long.reverse(~seed));
+    }
+
+    private static FaultPlanner planner(long seed, long stutterSeed) {
         return new FaultPlanner(
-                        new SplittableRandom(seed),
-                        new SplittableRandom(~seed),
-                        new SplittableRandom(Long.reverse(seed)))
-                .plan(MINUTE_MILLISECONDS);
+                new SplittableRandom(seed),
+                new SplittableRandom(~seed),
+                new SplittableRandom(Long.reverse(seed)),
+                new SplittableRandom(stutterSeed));
     }
 }
--- a/soak/src/test/java/org/damaskmoor/soak/verification/GuaranteeCheckerTest.java
+++ b/soak/src/test/java/org/damaskmoor/soak/verification/GuaranteeCheckerTest.java
@@ -10,10 +10,12 @@
 import org.damaskmoor.soak.verification.DisturbanceLog.Component;
 import org.damaskmoor.soak.verification.Exchange.End;
 import org.damaskmoor.soak.verification.RunLedger.Run;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 class GuaranteeCheckerTest {
     private static final int RELAY = 3;
+    private static final String STAMP = "stamp-1";
     private static final Run RUN = new Run(1, "upstream-1-1", 20_010);
     private static final Run OTHER_RUN = new Run(2, "upstream-2-1", 20_030);
 
@@ -21,6 +23,11 @@
     private final RunLedger ledger = new RunLedger();
     private final GuaranteeChecker checker = new GuaranteeChecker(disturbances, ledger);
 
+    @BeforeEach
+    void recordAnswer() {
+        ledger.recordAnswer(STAMP, "r1", 200);
+    }
+
     @Test
     void should_report_a_non_idempotent_request_that_ran_twice() {
         // given
@@ -57,6 +64,44 @@
                 .containsExactly("NOT_ITS_ANSWER");
     }
 
+    @Test
+    void should_report_a_success_where_the_upstream_answered_a_failure() {
+        // given
+        ledger.recordAnswer("stamp-2", "r1", 500);
+
+        // then
+        assertThat(kinds(answer(200, "stamp-2"))).containsExactly("NOT_ITS_STATUS");
+        assertThat(kinds(answer(500, "stamp-2"))).isEmpty();
+    }
+
+    @Test
+    void should_report_a_failure_of_the_upstream_with_another_status_than_it_gave() {
+        assertThat(kinds(answer(500, STAMP))).containsExactly("NOT_ITS_STATUS");
+        assertThat(kinds(answer(500, ""))).isEmpty();
+    }
+
+    @Test
+    void should_report_a_success_that_no_run_of_the_request_gave() {
+        // given
+        ledger.recordAnswer("stamp-2", "r2", 200);
+
+        // then
+        assertThat(kinds(answer(200, ""))).containsExactly("NOT_ITS_STATUS");
+        assertThat(kinds(answer(200, "stamp-2"))).containsExactly("NOT_ITS_STATUS");
+        assertThat(kinds(answer(200, STAMP + "HTTP/1.1 500 Status")))
+                .containsExactly("NOT_ITS_STATUS");
+    }
+
+    @Test
+    void should_allow_the_answer_of_any_run_of_an_idempotent_request() {
+        // given
+        ledger.recordAnswer("stamp-2", "r1", 500);
+
+        // then
+        assertThat(kinds(answer(200, STAMP))).isEmpty();
+        assertThat(kinds(answer(500, "stamp-2"))).isEmpty();
+    }
+
     @Test
     void should_report_a_missing_answer_from_an_undisturbed_relay() {
         assertThat(kinds(order(End.CLOSED, 0, true, 20_050))).containsExactly("UNANSWERED");
@@ -158,10 +203,20 @@
     }
 
     private static Exchange order(End end, int status, boolean own, long endedAt) {
-        return new Exchange("r1", RELAY, true, 0, 20_000, endedAt, end, status, own);
+        return new Exchange("r1", RELAY, true, 0, 20_000, endedAt, end, status, stamp(status), own);
     }
 
     private static Exchange read(int version, long sentAt, End end, int status) {
-        return new Exchange("r1", RELAY, false, version, sentAt, sentAt + 50, end, status, true);
+        return new Exchange(
+                "r1", RELAY, false, version, sentAt, sentAt + 50, end, status, stamp(status), true);
+    }
+
+    private static Exchange answer(int status, String stamp) {
+        return new Exchange(
+                "r1", RELAY, false, 0, 20_000, 20_050, End.ANSWERED, status, stamp, true);
+    }
+
+    private static String stamp(int status) {
+        return status == 200 ? STAMP : "";
     }
 }
--- a/soak/src/test/java/org/damaskmoor/soak/verification/NoticeCheckerTest.java
+++ b/soak/src/test/java/org/damaskmoor/soak/verification/NoticeCheckerTest.java
@@ -80,6 +80,6 @@
     }
 
     private static Exchange exchange(String id, long at, Exchange.End end) {
-        return new Exchange(id, ENTRY, false, 0, at, at + 20, end, 200, true);
+        return new Exchange(id, ENTRY, false, 0, at, at + 20, end, 200, "", true);
     }
 }
