Soak: repeat the answers to health checks as well

STUTTER repeats them like other answers: whole or cut, in one to three writes, before or after the next answer.

--- a/soak/src/main/java/org/damaskmoor/soak/SoakUpstream.java
+++ b/soak/src/main/java/org/damaskmoor/soak/SoakUpstream.java
@@ -49,6 +49,7 @@
     private final LongSupplier clock;
     private final Consumer<String> log;
     private final AtomicInteger runs = new AtomicInteger();
+    private final AtomicInteger healthChecks = new AtomicInteger();
     private final List<Notice> notices = new CopyOnWriteArrayList<>();
     private final Map<String, Long> drainAcknowledgedAt = new ConcurrentHashMap<>();
     private final Object freezeLock = new Object();
@@ -89,6 +90,7 @@
         long startedAt = wallClockOffset + clock.getAsLong();
         Incarnation started = new Incarnation(id, startedAt, server, new Semaphore(SLOTS));
         server.setScript((request, connection) -> answer(started, request, connection));
+        server.setHealthScript(connection -> answerHealthCheck(started, connection));
         current = started;
         Thread announcing = new Thread(() -> announce(started), "announce-" + id);
         announcing.setDaemon(true);
@@ -220,7 +222,7 @@
         stutter.onRequest(id, connection);
         List<String> copy;
         if (stutter.refuses(id) || !self.slots().tryAcquire()) {
-            copy = stutter.refuse(id, connection);
+            copy = stutter.answer(id, UpstreamStandIn.notRun(), connection);
         } else {
             try {
                 work(self, request);
@@ -238,6 +240,19 @@
         stutter.sendCopy(id, copy, connection);
     }
 
+    private void answerHealthCheck(Incarnation self, Connection connection)
+            throws IOException, InterruptedException {
+        String answer = self.server().healthy();
+        Optional<StutteringAnswers> stutter = stuttering;
+        if (stutter.isEmpty()) {
+            connection.send(answer);
+            return;
+        }
+        String id = "health-" + healthChecks.incrementAndGet();
+        stutter.get().onRequest(id, connection);
+        stutter.get().sendCopy(id, stutter.get().answer(id, answer, connection), connection);
+    }
+
     private void work(Incarnation self, Request request) throws InterruptedException {
         ledger.record(request.id(), new RunLedger.Run(relay, self.id(), clock.getAsLong()));
         Thread.sleep(
--- a/soak/src/main/java/org/damaskmoor/soak/StutteringAnswers.java
+++ b/soak/src/main/java/org/damaskmoor/soak/StutteringAnswers.java
@@ -126,12 +126,11 @@
         sendSlowly(pieces, connection, random);
     }
 
-    /** Refuses a request and returns the pieces of the copy that are still to be sent. */
-    List<String> refuse(String id, Connection connection) throws IOException {
+    /** Sends a given answer and returns the pieces of the copy that are still to be sent. */
+    List<String> answer(String id, String text, Connection connection) throws IOException {
         RandomGenerator random = random("copy", id);
-        String copy = cutOrWhole(UpstreamStandIn.notRun(), random);
-        Moment moment = any(Moment.values(), random);
-        return send(id, UpstreamStandIn.notRun(), pieces(copy, random), moment, connection);
+        List<String> pieces = pieces(cutOrWhole(text, random), random);
+        return send(id, text, pieces, any(Moment.values(), random), connection);
     }
 
     /** Answers a request and returns the pieces of the copy that are still to be sent. */
@@ -181,7 +180,7 @@
         };
     }
 
-    /** Sends the pieces that {@link #answer} or {@link #refuse} returned. */
+    /** Sends the pieces that {@link #answer} returned. */
     void sendCopy(String id, List<String> pieces, Connection connection)
             throws IOException, InterruptedException {
         if (pieces.isEmpty()) {
