Soak: cut answers with a length as well

JoinedBodyTest shows that the bytes behind the length tell that such a body was cut, if they arrive together with it. The soak cut chunked answers only, as the bytes of the copy are valid as the rest of a body. Half of the cut answers have a length now; their copy is sent in one write.

--- a/soak/src/main/java/org/damaskmoor/soak/StutteringAnswers.java
+++ b/soak/src/main/java/org/damaskmoor/soak/StutteringAnswers.java
@@ -31,8 +31,9 @@
     private static final int FAILURE_INTERVAL = 3;
 
     /**
-     * One in this many first answers is cut in its body, which is in chunks: with a length, the
-     * bytes of the copy would be valid as the rest of the body.
+     * One in this many first answers is cut in its body, and continued by the whole copy. If it has
+     * a length, the copy is sent in one write: only the bytes behind the length tell that the body
+     * is not whole.
      */
     private static final int CUT_INTERVAL = 12;
 
@@ -138,11 +139,13 @@
         RandomGenerator random = random("copy", answer.id());
         String idLine = "Request-Id: " + answer.id() + "\r\n";
         if (random.nextInt(CUT_INTERVAL) == 0) {
-            String first = answer.text(Framing.CHUNKS, idLine);
+            boolean chunked = random.nextBoolean();
+            String first = answer.text(chunked ? Framing.CHUNKS : Framing.LENGTH, idLine);
             int bodyStart = first.indexOf(UpstreamStandIn.body(answer.id()));
             String cut = first.substring(0, bodyStart + random.nextInt(first.length() - bodyStart));
             Moment moment = random.nextBoolean() ? Moment.WITH_ANSWER : Moment.AFTER_ANSWER;
-            return send(answer.id(), cut, pieces(first, random), moment, connection);
+            List<String> pieces = chunked ? pieces(first, random) : List.of(first);
+            return send(answer.id(), cut, pieces, moment, connection);
         }
         String first =
                 answer.text(random.nextInt(4) == 0 ? Framing.CHUNKS : Framing.LENGTH, idLine);
