Don't take a success without an id for the answer to a call

Cause: an upstream may refuse before it reads a request, so a refusal is accepted without an id. Whether an answer is a refusal was decided by the header that says so, whatever its status; whether it is treated as one, by its status as well. A 200 with that header and no id passed the first test and was forwarded as the answer by the second.

Both places ask the same question now: 421, or 503, 429, 400 with that header.

Test that failed before: UpstreamProtocolTest.should_skip_an_answer_without_id_that_says_not_run_with_the_status_of_a_success.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/AnswerHead.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/AnswerHead.java
@@ -56,9 +56,16 @@
      * not carry one.
      */
     boolean isRefusalWithoutId() {
-        boolean refused =
-                status() == MISDIRECTED_REQUEST || headers().contains(HeaderNames.NOT_RUN);
-        return refused && !headers().contains(HeaderNames.REQUEST_ID);
+        return isRefusal() && !headers().contains(HeaderNames.REQUEST_ID);
+    }
+
+    private boolean isRefusal() {
+        boolean mayRefuse =
+                status() == SERVICE_UNAVAILABLE
+                        || status() == TOO_MANY_REQUESTS
+                        || status() == BAD_REQUEST;
+        return status() == MISDIRECTED_REQUEST
+                || (mayRefuse && headers().contains(HeaderNames.NOT_RUN));
     }
 
     /** Length of the body in bytes, 0 if the head does not tell it. */
@@ -91,11 +98,7 @@
             return new UpstreamOutcome.NotRun(
                     UpstreamOutcome.Cause.OTHER_UPSTREAM, report(UpstreamReport.Source.REFUSAL));
         }
-        boolean mayRefuse =
-                status() == SERVICE_UNAVAILABLE
-                        || status() == TOO_MANY_REQUESTS
-                        || status() == BAD_REQUEST;
-        if (mayRefuse && headers().contains(HeaderNames.NOT_RUN)) {
+        if (isRefusal()) {
             return new UpstreamOutcome.NotRun(
                     UpstreamOutcome.Cause.SHED, report(UpstreamReport.Source.REFUSAL));
         }
--- a/relay/src/test/java/org/damaskmoor/relay/UpstreamProtocolTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/UpstreamProtocolTest.java
@@ -215,6 +215,26 @@
         }
     }
 
+    /** Guards against an answer without an id that is taken because it says that nothing ran. */
+    @Test
+    void should_skip_an_answer_without_id_that_says_not_run_with_the_status_of_a_success()
+            throws Exception {
+        // given
+        upstream.setScript(
+                (request, connection) -> {
+                    connection.send(
+                            "HTTP/1.1 200 OK\r\nNot-Executed: true\r\nContent-Length: 0\r\n\r\n");
+                    connection.send(UpstreamStandIn.answer(request.id(), 500, "own"));
+                });
+
+        // when
+        RawCaller.Answer answer = sendRequest(RawCaller.post("/order/1", "r1", "body"));
+
+        // then
+        assertThat(answer.status()).isEqualTo(500);
+        assertThat(answer.body()).isEqualTo("own");
+    }
+
     @Test
     void should_answer_at_the_timeout_of_the_route_when_the_upstream_does_not_answer()
             throws Exception {
