--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnection.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnection.java
@@ -36,6 +36,9 @@
  * the request was sent in full, the connection is not reused.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
+    /** Format of a text in a log line that the upstream determines. */
+    private static final String SHORTENED = "%.80s";
+
     /** Interim and foreign answers that may precede the answer to a call. */
     private static final int MAX_SKIPPED_ANSWERS = 32;
 
@@ -159,7 +162,7 @@
             String cause = String.valueOf(message.decoderResult().cause().getMessage());
             end(
                     new UpstreamOutcome.Failed(
-                            String.format("the answer can't be read: %.80s", cause)));
+                            "the answer can't be read: " + String.format(SHORTENED, cause)));
             return;
         }
         if (message instanceof HttpResponse response) {
@@ -205,7 +208,7 @@
     private void logSkipped(AnswerHead skipped) {
         log.event("answer-skipped")
                 .with("request", requestId)
-                .with("id", skipped.requestId())
+                .with("id", String.format(SHORTENED, skipped.requestId()))
                 .with("status", skipped.status())
                 .with("connection", localPort())
                 .with("connection_calls", calls)
