Look behind an answer that ends where a read ends

Callers got a 2xx whose missing end was the beginning of a second answer, if the cut answer and the part that completed it filled the buffer of a read. One read a turn ends the call at the end of that read, when the bytes behind the body, which show the status line of the second answer, are still in the socket.

After a read that filled its buffer the call now ends at the next read, or 1 ms later if none follows. An answer that is complete when the connection fails is reported as before.

should_not_complete_a_cut_body_where_a_read_ends got 200 in place of 502 at 2048 bytes on. What remains: if the rest of the second answer arrives later than 1 ms, the body still passes for a whole one.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnection.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.RecvByteBufAllocator.ExtendedHandle;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -15,6 +16,7 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.ClosedChannelException;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.damaskmoor.core.buffer.BufferBudget;
 import org.damaskmoor.platform.http.ResponseDecoder;
@@ -42,6 +44,9 @@
     /** Greatest length of the body of an answer to a health check. */
     private static final long MAX_HEALTH_ANSWER_BYTES = 64 * 1024;
 
+    /** Longest wait for one more read behind an answer that filled the last one. */
+    private static final long READ_ON_MILLISECONDS = 1;
+
     private final UpstreamConnectionPool pool;
     private final ResponseDecoder decoder;
     private final long maxAnswerBytes;
@@ -54,6 +59,7 @@
     private boolean notReusable;
     private AnswerHead head;
     private AnswerHead answered;
+    private boolean readingOn;
     private boolean skippingBody;
     private boolean healthChecking;
     private int calls;
@@ -288,16 +294,29 @@
         budget.release(this).forEach(UpstreamConnection::resume);
     }
 
-    /** Ends a call when all bytes that have arrived with its answer can be seen. */
+    /** Ends a call when the bytes that have arrived with its answer can be seen. */
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        finishAnswered();
+        if (answered != null && !readingOn && wasReadFull()) {
+            readingOn = true;
+            context.executor()
+                    .schedule(this::finishAnswered, READ_ON_MILLISECONDS, TimeUnit.MILLISECONDS);
+        } else {
+            finishAnswered();
+        }
         context.fireChannelReadComplete();
     }
 
+    /** Whether the last read filled its buffer, so that more bytes may have arrived. */
+    private boolean wasReadFull() {
+        return channel.unsafe().recvBufAllocHandle() instanceof ExtendedHandle read
+                && read.lastBytesRead() == read.attemptedBytesRead();
+    }
+
     private void finishAnswered() {
         AnswerHead completed = answered;
         answered = null;
+        readingOn = false;
         if (completed != null && pendingOutcome != null) {
             finish(completed);
         }
@@ -358,6 +377,8 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        notReusable = true;
+        finishAnswered();
         end(new UpstreamOutcome.Failed("the connection failed: " + cause.getMessage()));
         context.close();
     }
--- a/relay/src/test/java/org/damaskmoor/relay/JoinedBodyTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/JoinedBodyTest.java
@@ -59,6 +59,30 @@
         }
     }
 
+    /** Guards against a cut body whose missing end is the end of a read. */
+    @Test
+    void should_not_complete_a_cut_body_where_a_read_ends() throws Exception {
+        int missing = 200;
+        for (int readBytes : new int[] {1024, 2048, 4096, 6144}) {
+            String id = String.format("read-%05d", readBytes);
+            String longer = UpstreamStandIn.answer(id, OK, "a".repeat(readBytes));
+            int headBytes = longer.length() - readBytes;
+            String head = longer.substring(0, headBytes);
+            String body = "a".repeat(readBytes - headBytes);
+            String whole = head.replace(": " + readBytes, ": " + padded(body.length())) + body;
+            String cut = whole.substring(0, readBytes - missing);
+            upstream.setScript((request, connection) -> connection.send(cut + whole));
+
+            // when
+            RawCaller.Answer answer = sendRequest(id);
+
+            // then
+            assertWithMessage("with %s bytes read", readBytes)
+                    .that(answer.status())
+                    .isEqualTo(BAD_GATEWAY);
+        }
+    }
+
     /** Guards against a body into which an earlier answer was written. */
     @Test
     void should_not_forward_a_body_that_is_interrupted_by_a_second_answer() throws Exception {
@@ -99,6 +123,11 @@
         assertWithMessage("body").that(sendRequest("followed").body()).isEqualTo("whole");
     }
 
+    /** A length in as many digits as that of the longest answer. */
+    private static String padded(int length) {
+        return String.format("%04d", length);
+    }
+
     private static void answerTwice(String answer, UpstreamStandIn.Connection connection)
             throws IOException, InterruptedException {
         connection.send(answer);
