Don't forward a second answer within a body that has no length

Callers got a 2xx whose body held a second answer. The check for a body that runs into another answer needs bytes behind the body. There are none if the connection ends the body, nor if a cut chunk ends with the head of a chunked second answer.

A body without Content-Length that contains a status line followed by a field Request-Id now fails the call. A status line that a body merely quotes passes.

What remains: a part of a second answer that ends before its id.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/AnswerHead.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/AnswerHead.java
@@ -61,6 +61,11 @@
         return refused && !headers().contains(HeaderNames.REQUEST_ID);
     }
 
+    /** Whether the head tells the length of the body. */
+    boolean hasContentLength() {
+        return HttpUtil.isContentLengthSet(response);
+    }
+
     /** Length of the body in bytes, 0 if the head does not tell it. */
     long contentLength() {
         return HttpUtil.getContentLength(response, 0L);
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnection.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnection.java
@@ -335,7 +335,10 @@
                 healthChecking ? UpstreamReport.Source.HEALTH_CHECK : UpstreamReport.Source.ANSWER;
         AnswerOrigin origin = new AnswerOrigin(localPort(), calls, skippedAnswers);
         ByteString wholeBody = body.toByteString();
-        if (decoder.hasMoreBytes() && decoder.isStatusLineWithin(wholeBody)) {
+        boolean runsIntoAnother =
+                (decoder.hasMoreBytes() && decoder.isStatusLineWithin(wholeBody))
+                        || (!completed.hasContentLength() && EmbeddedAnswer.isWithin(wholeBody));
+        if (runsIntoAnother) {
             end(new UpstreamOutcome.Failed("the answer runs into another one"));
         } else {
             end(completed.toOutcome(wholeBody, source, origin));
--- a/relay/src/test/java/org/damaskmoor/relay/JoinedBodyTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/JoinedBodyTest.java
@@ -83,6 +83,46 @@
         }
     }
 
+    /** Guards against a body without a length that a second answer was appended to. */
+    @Test
+    void should_not_take_a_second_answer_for_the_end_of_a_body_without_length() throws Exception {
+        String answer =
+                UpstreamStandIn.answer("no-length", OK, "a body")
+                        .replace("Content-Length: 6\r\n", "");
+        upstream.setScript(
+                (request, connection) -> {
+                    answerTwice(answer, connection);
+                    connection.close();
+                });
+
+        // when, then
+        assertWithMessage("status").that(sendRequest("no-length").status()).isEqualTo(BAD_GATEWAY);
+    }
+
+    /** Guards against a cut chunk that ends with the head of the next answer. */
+    @Test
+    void should_not_complete_a_cut_chunk_with_the_head_of_a_second_answer() throws Exception {
+        String end = "\r\n0\r\n\r\n";
+        String head =
+                UpstreamStandIn.answer("chunk", OK, "")
+                        .replace("Content-Length: 0", "Transfer-Encoding: chunked");
+        String whole = head + "c8\r\n" + "a".repeat(200) + end;
+        for (int missing = head.length() - 4; missing <= head.length(); missing++) {
+            String cut = whole.substring(0, whole.length() - end.length() - missing);
+            upstream.setScript(
+                    (request, connection) -> {
+                        connection.send(cut + whole);
+                        connection.awaitClose(100);
+                        connection.close();
+                    });
+
+            // when, then
+            assertWithMessage("status with %s bytes missing", missing)
+                    .that(sendRequest("chunk").status())
+                    .isEqualTo(BAD_GATEWAY);
+        }
+    }
+
     /** Guards against a body into which an earlier answer was written. */
     @Test
     void should_not_forward_a_body_that_is_interrupted_by_a_second_answer() throws Exception {
