Read short answers in one turn, and search bodies by their literal text

An answer that fills a read waits up to 1 ms for a further one. With a least read of 2 KB, short answers don't fill it; the allocator had shrunk it to their size. The pattern of an answer within a body begins with a literal now, which is searched without looking at each byte. The reason for refusing waiting calls at a stop is told as it is.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/EmbeddedAnswer.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/EmbeddedAnswer.java
@@ -19,9 +19,9 @@
     private static final Pattern HEAD =
             Pattern.compile(
                     "HTTP/[0-9]\\.[0-9] [0-9]{3}[^\r\n]*\r\n(?:[^\r\n]+\r\n){0,64}?"
+                            + "(?i:"
                             + HeaderNames.REQUEST_ID
-                            + ":",
-                    Pattern.CASE_INSENSITIVE);
+                            + "):");
 
     private EmbeddedAnswer() {}
 
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetCallHandler.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/TargetCallHandler.java
@@ -218,7 +218,7 @@
         callbacks.onUpstreamChanged();
     }
 
-    /** Refuses the calls that wait, because they could not end before this node stops. */
+    /** Refuses the calls that wait, while their entries can still try another target. */
     public void refuseWaitingCalls() {
         for (TargetCall waiting : queue.drainAll()) {
             openCalls.refuse(waiting, RefusalReason.DRAINING, 0);
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnectionPool.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnectionPool.java
@@ -49,8 +49,8 @@
     /** Bytes of incomplete answers that are buffered together; a quarter of a 96 MB heap. */
     private static final long MAX_BUFFERED_BYTES = 24 * 1024 * 1024;
 
-    private static final int MIN_READ_BYTES = 64;
-    private static final int INITIAL_READ_BYTES = 2 * 1024;
+    /** Most answers don't fill a read of this size, so that they end without a further one. */
+    private static final int MIN_READ_BYTES = 2 * 1024;
 
     /** Bytes that a connection reads in one turn of the event loop, before others have theirs. */
     private static final int MAX_READ_BYTES = 4 * 1024;
@@ -97,7 +97,7 @@
                         .option(
                                 ChannelOption.RCVBUF_ALLOCATOR,
                                 new AdaptiveRecvByteBufAllocator(
-                                                MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
+                                                MIN_READ_BYTES, MIN_READ_BYTES, MAX_READ_BYTES)
                                         .maxMessagesPerRead(1))
                         .handler(
                                 new ChannelInitializer<>() {
