--- a/relay/src/test/java/org/damaskmoor/relay/JoinedBodyTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/JoinedBodyTest.java
@@ -59,6 +59,27 @@
         }
     }
 
+    /** Guards against a cut body when little of the second answer has arrived behind it. */
+    @Test
+    void should_not_complete_a_cut_body_with_the_start_of_a_status_line() throws Exception {
+        int statusLineStart = "HTTP/1.1 200".length();
+        for (int missing = 1; missing < statusLineStart - 1; missing++) {
+            String id = String.format("few-%03d", missing);
+            String whole = UpstreamStandIn.answer(id, OK, "a body that is cut");
+            String cut = whole.substring(0, whole.length() - missing);
+            String arrived = whole.substring(0, missing + 1);
+            upstream.setScript((request, connection) -> connection.send(cut + arrived));
+
+            // when
+            RawCaller.Answer answer = sendRequest(id);
+
+            // then
+            assertWithMessage("with %s bytes missing", missing)
+                    .that(answer.status())
+                    .isEqualTo(BAD_GATEWAY);
+        }
+    }
+
     /** Guards against a cut body whose missing end is the end of a read. */
     @Test
     void should_not_complete_a_cut_body_where_a_read_ends() throws Exception {
