Review: names of the cases' classes, windows of slow clients

The first review's build.sh compiles */Case*.java, so the classes of this review are named Review6 to Review10.

--- a/review/10/Case10.java
+++ b/review/10/Review10.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /** The operator takes away the keys of the only tenant by removing it from the configuration. */
-public final class Case10 {
+public final class Review10 {
     private static final String KEY = "k-4f1d22a90b7c";
     private static final long REVOKE_MILLISECONDS = 5000;
     private static final List<String> SERVICES = List.of("books", "books", "books");
@@ -21,7 +21,7 @@
         Map<String, String> settings =
                 Map.of("bounds.revoke", REVOKE_MILLISECONDS + "ms", "bounds.revokeFailClosed", "true");
         try (Recorder record = new Recorder(Path.of("review/10/record.txt"));
-                Deployment site = new Deployment(record, SERVICES, Case10::run, settings, configuration(7, true))) {
+                Deployment site = new Deployment(record, SERVICES, Review10::run, settings, configuration(7, true))) {
             if (site.awaitReady()) {
                 exit = play(record, site, trouble);
             } else {
--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
 # Exits with 1 if a request with a revoked key ran or a key was passed on, 0 if not, 2 if it couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
-[ -e target/damaskmoor-relay.jar ] && [ -e target/review-2/Case10.class ] || exit 2
-exec timeout 110 java -Xmx256m -cp target/review-2 Case10
+[ -e target/damaskmoor-relay.jar ] && [ -e target/review-2/Review10.class ] || exit 2
+exec timeout -k 5 110 java -Xmx256m -cp target/review-2 Review10
--- a/review/9/Case9.java
+++ b/review/9/Review9.java
@@ -13,7 +13,7 @@
  * One garbled answer: a backend in trouble sends an answer without a length whose body is its status
  * line again and again, and breaks off. Clients of the machine beside it go on with small bookings.
  */
-public final class Case9 {
+public final class Review9 {
     /** Half of what a relay accepts from a backend if its settings don't say otherwise. */
     private static final int GARBLED_BYTES = 4_000_000;
     private static final String STATUS_LINE = "HTTP/1.1 200 OK\r\n";
@@ -34,7 +34,7 @@
         String routes = Config.route("order", "/order/", "non_idempotent", "books", TIMEOUT_MILLISECONDS + "ms");
         try (Recorder record = new Recorder(Path.of("review/9/record.txt"));
                 Deployment site = new Deployment(record, routes, List.of("books", "books", "books"),
-                        Case9::run, Map.of())) {
+                        Review9::run, Map.of())) {
             if (site.awaitReady()) {
                 exit = play(record, site, trouble);
             } else {
--- a/review/standin-2/Client.java
+++ b/review/standin-2/Client.java
@@ -16,6 +16,14 @@
     String moreHeaders = "";
 
     Client(int port) throws IOException {
+        this(port, 0);
+    }
+
+    /** A client with a receive window of so many bytes; 0 for the usual one. */
+    Client(int port, int windowBytes) throws IOException {
+        if (windowBytes > 0) {
+            socket.setReceiveBufferSize(windowBytes);
+        }
         socket.connect(new InetSocketAddress("127.0.0.1", port), 1000);
         socket.setTcpNoDelay(true);
         in = new BufferedInputStream(socket.getInputStream());
