--- a/review/9/Review9.java
+++ b/review/9/Review9.java
@@ -46,6 +46,7 @@
 
     private static boolean run(Backend backend, Wire.Message request, OutputStream out, Socket socket)
             throws Exception {
+        backend.record.line("backend %s runs %s %s", backend.id, request.path(), request.header("request-id"));
         Thread.sleep(60);
         answers.incrementAndGet();
         if (backend.id.equals("i-0") && faulty.compareAndSet(true, false)) {
