Keys are checked when the list of tenants is empty

Callers saw: after the operator had removed the last tenant ("tenants":[]), requests with its key were served, so were requests with a key that nobody was ever given, and the upstreams got the key.

Cause: an empty TenantTable meant both "no keys are asked for" and "nobody has a key". The decoder saw whether the list was there and returned equal tables; Authenticator, RequestAuthenticator and NodeFreshness asked isEmpty() and took the first meaning. The proof of freshness ended as well.

Why this works: requiresKeys() and hasTenants() replace isEmpty(); each caller now says which question it asks, and an empty or null list leaves the check, the removal of the headers and the proof on. Fair queueing and quotas ask whether there are tenants, as before. configuration-in-force tells tenants and requires_keys.

Failed before, on: ApiKeyTest.should_admit_nobody_when_the_list_of_ tenants_is_empty (expected 401, was 200), AuthenticatorTest.should_refuse_ every_request_when_the_list_of_tenants_is_empty (was ADMITTED, NOT_CHECKED), KeyRevocationTest.should_go_on_to_prove_freshness_when_the_list_of_tenants_ is_empty.

--- a/core/src/main/java/org/damaskmoor/core/quota/EntryQuotas.java
+++ b/core/src/main/java/org/damaskmoor/core/quota/EntryQuotas.java
@@ -70,7 +70,7 @@
     private final Map<NodeId, Long> heardAt = new HashMap<>();
     private Set<NodeId> overdue = new HashSet<>();
     private QuotaMembers members;
-    private TenantTable table = TenantTable.EMPTY;
+    private TenantTable table = TenantTable.NOT_CONFIGURED;
     private long configurationVersion;
     private long lastSequence;
     private long membersVersion;
--- a/core/src/main/java/org/damaskmoor/core/quota/QuotaCoordinator.java
+++ b/core/src/main/java/org/damaskmoor/core/quota/QuotaCoordinator.java
@@ -33,7 +33,7 @@
     private final Set<TenantName> changedLimits = new HashSet<>();
     private final Reachability reachability;
     private QuotaMembers members;
-    private TenantTable table = TenantTable.EMPTY;
+    private TenantTable table = TenantTable.NOT_CONFIGURED;
     private long configurationVersion;
 
     private record Rank(boolean primary, List<NodeId> better) {}
--- a/core/src/main/java/org/damaskmoor/core/routetable/RouteTable.java
+++ b/core/src/main/java/org/damaskmoor/core/routetable/RouteTable.java
@@ -77,7 +77,7 @@
         return limits;
     }
 
-    /** The tenants; without any, requests need no key. */
+    /** The tenants, and whether requests need a key. */
     public TenantTable tenants() {
         return tenants;
     }
--- a/core/src/main/java/org/damaskmoor/core/tenancy/Authenticator.java
+++ b/core/src/main/java/org/damaskmoor/core/tenancy/Authenticator.java
@@ -16,9 +16,10 @@
  * tenants; one lookup in a hash table. Most requests carry one valid key; calls of upstreams carry
  * none and use public routes.
  *
- * <p>Invariants: without tenants, every request is admitted without a tenant. A public route never
- * refuses. A tenant is returned only with proof that the key set is fresh. The result does not
- * contain the key. Thread-safe: pure functions.
+ * <p>Invariants: without a list of tenants, every request is admitted without a tenant; with an
+ * empty one, only requests of public routes are. A public route never refuses. A tenant is returned
+ * only with proof that the key set is fresh. The result does not contain the key. Thread-safe: pure
+ * functions.
  */
 public final class Authenticator {
     private static final String SCHEME = "Bearer";
@@ -35,7 +36,7 @@
      */
     public static Authentication authenticate(
             TenantTable tenants, boolean publicRoute, List<String> credentials, boolean proven) {
-        if (tenants.isEmpty()) {
+        if (!tenants.requiresKeys()) {
             return Authentication.admitted(Optional.empty(), Detail.NOT_CHECKED);
         }
         Authentication checked = check(tenants, credentials, proven);
--- a/core/src/main/java/org/damaskmoor/core/tenancy/TenantTable.java
+++ b/core/src/main/java/org/damaskmoor/core/tenancy/TenantTable.java
@@ -9,24 +9,31 @@
 /**
  * The tenants of one version of the operator's configuration.
  *
+ * <p>A configuration without a list of tenants asks for no keys. One whose list is empty asks for
+ * keys and admits none.
+ *
  * <p>Invariant: no key belongs to two tenants. Immutable and thread-safe.
  */
 public final class TenantTable {
-    /** A configuration without tenants: requests need no key. */
-    public static final TenantTable EMPTY = new TenantTable();
+    /** A configuration without a list of tenants: requests need no key. */
+    public static final TenantTable NOT_CONFIGURED = new TenantTable(false);
 
     private final Map<TenantName, Tenant> byName = new HashMap<>();
     private final Map<ApiKey, Tenant> byKey = new HashMap<>();
 
-    private TenantTable() {}
+    private final boolean requiresKeys;
+
+    private TenantTable(boolean requiresKeys) {
+        this.requiresKeys = requiresKeys;
+    }
 
     /**
-     * Creates a table.
+     * Creates a table of a configuration with a list of tenants, which may be empty.
      *
      * @throws IllegalArgumentException when two tenants share a name or a key
      */
     public static TenantTable of(Collection<Tenant> tenants) {
-        TenantTable table = new TenantTable();
+        TenantTable table = new TenantTable(true);
         tenants.forEach(table::add);
         return table;
     }
@@ -44,9 +51,14 @@
         }
     }
 
-    /** Whether the configuration has no tenants, so that requests need no key. */
-    public boolean isEmpty() {
-        return byName.isEmpty();
+    /** Whether requests need a key, also if no tenant has one. */
+    public boolean requiresKeys() {
+        return requiresKeys;
+    }
+
+    /** Whether there is any tenant. */
+    public boolean hasTenants() {
+        return !byName.isEmpty();
     }
 
     /** Whether any tenant has a limited quota. */
--- a/core/src/test/java/org/damaskmoor/core/routetable/RouteTableTest.java
+++ b/core/src/test/java/org/damaskmoor/core/routetable/RouteTableTest.java
@@ -47,7 +47,7 @@
                                 List.of(route("lost", "/")),
                                 List.of(),
                                 CallerLimits.UNCONFIGURED,
-                                TenantTable.EMPTY));
+                                TenantTable.NOT_CONFIGURED));
     }
 
     @Test
@@ -101,7 +101,7 @@
                 List.of(routes),
                 List.of(new ServiceDefinition(BOOKS, "/healthz", 10, ColdStart.NONE)),
                 CallerLimits.UNCONFIGURED,
-                TenantTable.EMPTY);
+                TenantTable.NOT_CONFIGURED);
     }
 
     private static Route route(String name, String prefix) {
--- a/core/src/test/java/org/damaskmoor/core/tenancy/AuthenticatorTest.java
+++ b/core/src/test/java/org/damaskmoor/core/tenancy/AuthenticatorTest.java
@@ -85,12 +85,32 @@
     void should_check_nothing_without_tenants() {
         // when
         Authentication result =
-                Authenticator.authenticate(TenantTable.EMPTY, false, List.of(), false);
+                Authenticator.authenticate(TenantTable.NOT_CONFIGURED, false, List.of(), false);
 
         // then
         assertThat(result).isEqualTo(Authentication.admitted(Optional.empty(), Detail.NOT_CHECKED));
     }
 
+    /** Guards against keys that are not checked any more once all tenants have been removed. */
+    @Test
+    void should_refuse_every_request_when_the_list_of_tenants_is_empty() {
+        // given
+        TenantTable nobody = TenantTable.of(List.of());
+
+        // when
+        Authentication withKey = Authenticator.authenticate(nobody, false, KEY, true);
+        Authentication withoutKey = Authenticator.authenticate(nobody, false, List.of(), true);
+        Authentication withoutProof = Authenticator.authenticate(nobody, false, KEY, false);
+
+        // then
+        assertThat(withKey)
+                .isEqualTo(Authentication.refused(Outcome.UNAUTHENTICATED, Detail.UNKNOWN));
+        assertThat(withoutKey)
+                .isEqualTo(Authentication.refused(Outcome.UNAUTHENTICATED, Detail.MISSING));
+        assertThat(withoutProof)
+                .isEqualTo(Authentication.refused(Outcome.UNPROVEN, Detail.UNPROVEN));
+    }
+
     @Test
     void should_not_contain_the_key() {
         assertThat(authenticate(KEY).toString()).doesNotContain("key-2");
--- a/relay/src/main/java/org/damaskmoor/relay/internal/NodeFreshness.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/NodeFreshness.java
@@ -34,13 +34,17 @@
                         System::currentTimeMillis,
                         storeEra::current,
                         () -> configuration.get().version(),
-                        this::hasTenants);
+                        this::requiresKeys);
         metrics.gauge(
                 "freshness-proof-age-ms", () -> tracker.ageMilliseconds().orElse(UNKNOWN_AGE));
     }
 
-    private boolean hasTenants() {
-        return configuration.get().table().map(table -> !table.tenants().isEmpty()).orElse(false);
+    private boolean requiresKeys() {
+        return configuration
+                .get()
+                .table()
+                .map(table -> table.tenants().requiresKeys())
+                .orElse(false);
     }
 
     FreshnessTracker tracker() {
--- a/relay/src/main/java/org/damaskmoor/relay/internal/NodeTargetCallbacks.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/NodeTargetCallbacks.java
@@ -119,7 +119,7 @@
 
     @Override
     public boolean hasTenants() {
-        return routes.get().map(table -> !table.tenants().isEmpty()).orElse(false);
+        return routes.get().map(table -> table.tenants().hasTenants()).orElse(false);
     }
 
     @Override
--- a/relay/src/main/java/org/damaskmoor/relay/internal/entry/RequestAuthenticator.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/RequestAuthenticator.java
@@ -18,8 +18,8 @@
 /**
  * Finds the tenant of a request, removes its API key, and refuses it if it has no valid one.
  *
- * <p>Confined to the event loop. Invariants: if there are tenants, no header of an admitted request
- * contains credentials or names a tenant; no key is logged or counted.
+ * <p>Confined to the event loop. Invariants: if requests need keys, no header of an admitted
+ * request contains credentials or names a tenant; no key is logged or counted.
  */
 final class RequestAuthenticator {
     private static final Set<String> REMOVED =
@@ -48,7 +48,7 @@
     /** Returns the request to serve, or replies that it is refused and returns empty. */
     Optional<AuthenticatedRequest> authenticate(
             CallerRequest request, Route route, RouteTable routes, Consumer<CallerReply> reply) {
-        if (routes.tenants().isEmpty()) {
+        if (!routes.tenants().requiresKeys()) {
             return Optional.of(new AuthenticatedRequest(request, Optional.empty()));
         }
         boolean proven = freshness.test(routes.version());
--- a/relay/src/main/java/org/damaskmoor/relay/internal/fleet/ConfigurationHolder.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/ConfigurationHolder.java
@@ -166,6 +166,8 @@
             log.event("configuration-in-force")
                     .with("version", table.version())
                     .with("routes", table.routes().size())
+                    .with("tenants", table.tenants().all().size())
+                    .with("requires_keys", table.tenants().requiresKeys())
                     .with("source", source)
                     .write();
             listener.accept(table);
--- a/relay/src/main/java/org/damaskmoor/relay/internal/quota/NodeQuotas.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/quota/NodeQuotas.java
@@ -58,7 +58,7 @@
     private final RelayMetrics metrics;
     private EntryQuotas entry;
     private QuotaCoordinator coordinator;
-    private TenantTable table = TenantTable.EMPTY;
+    private TenantTable table = TenantTable.NOT_CONFIGURED;
     private long version;
     private long knownDigest;
     private boolean limiting;
--- a/relay/src/main/java/org/damaskmoor/relay/internal/revocation/FreshnessTracker.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/revocation/FreshnessTracker.java
@@ -39,7 +39,7 @@
     private final LongSupplier timeOfDay;
     private final LongSupplier era;
     private final LongSupplier versionInForce;
-    private final BooleanSupplier hasTenants;
+    private final BooleanSupplier requiresKeys;
 
     /**
      * Creates a tracker without proof.
@@ -48,7 +48,7 @@
      * @param timeOfDay the time of day, in milliseconds
      * @param era the newest era of the store that is known
      * @param versionInForce version of the configuration in force
-     * @param hasTenants whether requests may need a key, so that proof is needed
+     * @param requiresKeys whether requests need a key, so that proof is needed
      */
     public FreshnessTracker(
             OptionalLong timeout,
@@ -56,7 +56,7 @@
             LongSupplier timeOfDay,
             LongSupplier era,
             LongSupplier versionInForce,
-            BooleanSupplier hasTenants) {
+            BooleanSupplier requiresKeys) {
         this.timeout = timeout;
         this.proof =
                 timeout.isPresent()
@@ -66,12 +66,12 @@
         this.timeOfDay = timeOfDay;
         this.era = era;
         this.versionInForce = versionInForce;
-        this.hasTenants = hasTenants;
+        this.requiresKeys = requiresKeys;
     }
 
     /** Whether requests are refused without proof. */
     public boolean isNeeded() {
-        return proof.isPresent() && hasTenants.getAsBoolean();
+        return proof.isPresent() && requiresKeys.getAsBoolean();
     }
 
     /** Whether the given version, which must be in force, is proven to be fresh. */
--- a/relay/src/test/java/org/damaskmoor/relay/ApiKeyTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/ApiKeyTest.java
@@ -145,6 +145,23 @@
         assertThat(status("/read/6", bearer(OTHER_KEY))).isEqualTo(200);
     }
 
+    /** Guards against keys that are neither checked nor removed once all tenants are removed. */
+    @Test
+    void should_admit_nobody_when_the_list_of_tenants_is_empty() throws Exception {
+        // when
+        configureTenants();
+        TestFleet.await(
+                () -> relay.log().contains("event=configuration-in-force version=" + version));
+
+        // then
+        assertThat(status("/read/9", bearer(KEY))).isEqualTo(401);
+        assertThat(status("/read/9", bearer(UNKNOWN_KEY))).isEqualTo(401);
+        assertThat(status("/read/9", "")).isEqualTo(401);
+        assertThat(status("/open/9", "Tenant: bank\r\n" + bearer(KEY))).isEqualTo(200);
+        assertThat(received("/open/9").headers()).doesNotContainKey("authorization");
+        assertThat(received("/open/9").headers()).doesNotContainKey("tenant");
+    }
+
     /** Guards against a part of an invalid configuration in force, or none at all. */
     @Test
     void should_keep_the_configuration_in_force_when_two_tenants_share_a_key() throws Exception {
@@ -174,14 +191,22 @@
     }
 
     private void configure(String... tenants) {
+        if (tenants.length > 0) {
+            configureTenants(tenants);
+        } else {
+            fleet.store.putConfiguration(nextConfiguration());
+        }
+    }
+
+    /** The configuration contains a list of tenants, also if there are none. */
+    private void configureTenants(String... tenants) {
+        fleet.store.putConfiguration(ConfigurationJson.withTenants(nextConfiguration(), tenants));
+    }
+
+    private String nextConfiguration() {
         version++;
-        String configuration =
-                ConfigurationJson.of(version, PUBLIC_ROUTE)
-                        .replace("\"maxHeaderBytes\":4096", "\"maxHeaderBytes\":20000");
-        fleet.store.putConfiguration(
-                tenants.length == 0
-                        ? configuration
-                        : ConfigurationJson.withTenants(configuration, tenants));
+        return ConfigurationJson.of(version, PUBLIC_ROUTE)
+                .replace("\"maxHeaderBytes\":4096", "\"maxHeaderBytes\":20000");
     }
 
     private static String tenant(String name, String key) {
--- a/relay/src/test/java/org/damaskmoor/relay/KeyRevocationTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/KeyRevocationTest.java
@@ -105,6 +105,24 @@
         assertThat(System.nanoTime() - returned).isLessThan(TimeUnit.SECONDS.toNanos(2));
     }
 
+    /** Guards against a proof of freshness that ends because no tenant is left. */
+    @Test
+    void should_go_on_to_prove_freshness_when_the_list_of_tenants_is_empty() throws Exception {
+        // given
+        InProcessRelay relay = relay("relay", fleet.store.address());
+        awaitServed(relay);
+
+        // when
+        configureNoTenants();
+        TestFleet.await(() -> answer(relay, "/read/1", KEY).status() == 401);
+        fleet.store.setMode(StoreStandIn.Mode.UNAVAILABLE);
+        TestFleet.await(() -> answer(relay, "/read/1", KEY).status() == 503);
+        fleet.store.setMode(StoreStandIn.Mode.NORMAL);
+
+        // then
+        TestFleet.await(() -> answer(relay, "/read/1", KEY).status() == 401);
+    }
+
     /** Guards against 503 at a node that only hears from others that its configuration is fresh. */
     @Test
     void should_serve_keys_at_a_node_that_the_store_refuses_while_others_are_served()
@@ -268,6 +286,12 @@
                         ConfigurationJson.tenant("bank", bankKey)));
     }
 
+    private void configureNoTenants() {
+        version++;
+        fleet.store.putConfiguration(
+                ConfigurationJson.withTenants(ConfigurationJson.of(version, PUBLIC_ROUTE)));
+    }
+
     private static void awaitServed(InProcessRelay relay) throws Exception {
         TestFleet.await(() -> answer(relay, "/read/0", KEY).status() == 200);
     }
--- a/relay/src/test/java/org/damaskmoor/relay/internal/entry/EntryEgressTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/internal/entry/EntryEgressTest.java
@@ -108,7 +108,7 @@
                         List.of(route),
                         List.of(new ServiceDefinition(BOOKS, "/healthz", 100, ColdStart.NONE)),
                         CallerLimits.UNCONFIGURED,
-                        TenantTable.EMPTY));
+                        TenantTable.NOT_CONFIGURED));
     }
 
     /**
--- a/relay/src/test/java/org/damaskmoor/relay/internal/entry/EntryRequestHandlerTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/internal/entry/EntryRequestHandlerTest.java
@@ -90,7 +90,7 @@
                         List.of(route("read", true), route("order", false)),
                         List.of(new ServiceDefinition(BOOKS, "/healthz", 100, ColdStart.NONE)),
                         CallerLimits.UNCONFIGURED,
-                        TenantTable.EMPTY));
+                        TenantTable.NOT_CONFIGURED));
     }
 
     @Test
