Keys are refused after the list of tenants is removed

Callers saw: after a version without any list of tenants had followed one with it, requests with a removed or unknown key were served, and the upstreams got the key.

Cause: without the list the configuration asks for no keys, and a request that carries one was taken for one that carries none.

Evidence: the two tests below on the commit before, expected 401, was 200.

Why this works: where keys may have been given out, a request that carries one is checked against a table that admits nobody, so it is refused, or served without its key on a public route. Others are served, since the configuration asks for no keys. That keys were given out is known from an earlier configuration of the process or from revocation-fail-closed, so a restart does not end it there. Where revocation-fail-closed is off, a restart still does (postmortem, open).

Failed before: ApiKeyTest.should_refuse_keys_when_the_list_of_tenants_has_ been_removed, KeyRevocationTest.should_refuse_keys_when_the_list_of_tenants_ was_removed_before_the_start. After: these classes, AuthenticatorTest, EntryEgressTest and EntryRequestHandlerTest pass.

--- a/core/src/main/java/org/damaskmoor/core/tenancy/Authenticator.java
+++ b/core/src/main/java/org/damaskmoor/core/tenancy/Authenticator.java
@@ -43,6 +43,11 @@
         return publicRoute ? Authentication.admitted(checked.tenant(), checked.detail()) : checked;
     }
 
+    /** Whether any of the credentials has the scheme of API keys. */
+    public static boolean containKey(List<String> credentials) {
+        return credentials.stream().anyMatch(value -> isKeyScheme(scheme(value.strip())));
+    }
+
     private static Authentication check(
             TenantTable tenants, List<String> credentials, boolean proven) {
         if (credentials.isEmpty()) {
@@ -52,10 +57,8 @@
             return Authentication.refused(Outcome.UNAUTHENTICATED, Detail.DUPLICATED);
         }
         String value = credentials.get(0).strip();
-        int space = value.indexOf(' ');
-        String scheme = space < 0 ? value : value.substring(0, space);
-        // Names of schemes are case-insensitive (RFC 9110, section 11.1).
-        if (!scheme.equalsIgnoreCase(SCHEME)) {
+        String scheme = scheme(value);
+        if (!isKeyScheme(scheme)) {
             return Authentication.refused(Outcome.UNAUTHENTICATED, Detail.OTHER_SCHEME);
         }
         String key = value.substring(scheme.length()).strip();
@@ -70,4 +73,14 @@
                 ? Authentication.admitted(holder, Detail.KNOWN)
                 : Authentication.refused(Outcome.UNAUTHENTICATED, Detail.UNKNOWN);
     }
+
+    private static String scheme(String value) {
+        int space = value.indexOf(' ');
+        return space < 0 ? value : value.substring(0, space);
+    }
+
+    /** Names of schemes are case-insensitive (RFC 9110, section 11.1). */
+    private static boolean isKeyScheme(String scheme) {
+        return scheme.equalsIgnoreCase(SCHEME);
+    }
 }
--- a/core/src/main/java/org/damaskmoor/core/tenancy/TenantTable.java
+++ b/core/src/main/java/org/damaskmoor/core/tenancy/TenantTable.java
@@ -18,6 +18,9 @@
     /** A configuration without a list of tenants: requests need no key. */
     public static final TenantTable NOT_CONFIGURED = new TenantTable(false);
 
+    /** Nobody has a key, but requests need one. */
+    public static final TenantTable NOBODY = new TenantTable(true);
+
     private final Map<TenantName, Tenant> byName = new HashMap<>();
     private final Map<ApiKey, Tenant> byKey = new HashMap<>();
 
--- a/core/src/test/java/org/damaskmoor/core/tenancy/AuthenticatorTest.java
+++ b/core/src/test/java/org/damaskmoor/core/tenancy/AuthenticatorTest.java
@@ -111,6 +111,15 @@
                 .isEqualTo(Authentication.refused(Outcome.UNPROVEN, Detail.UNPROVEN));
     }
 
+    @Test
+    void should_tell_keys_from_other_credentials() {
+        assertThat(Authenticator.containKey(List.of("Bearer key-1"))).isTrue();
+        assertThat(Authenticator.containKey(List.of("Basic abc", " bearer key-1"))).isTrue();
+        assertThat(Authenticator.containKey(List.of("Bearer"))).isTrue();
+        assertThat(Authenticator.containKey(List.of("Basic Bearer"))).isFalse();
+        assertThat(Authenticator.containKey(List.of())).isFalse();
+    }
+
     @Test
     void should_not_contain_the_key() {
         assertThat(authenticate(KEY).toString()).doesNotContain("key-2");
--- a/relay/src/main/java/org/damaskmoor/relay/internal/NodeEntryFactory.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/NodeEntryFactory.java
@@ -62,6 +62,12 @@
                         log,
                         metrics);
         return new EntryRequestHandler(
-                settings.node(), incarnation, context, quarantined, freshness, quotas);
+                settings.node(),
+                incarnation,
+                context,
+                quarantined,
+                freshness,
+                settings.revocationMilliseconds().isPresent(),
+                quotas);
     }
 }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryRequestHandler.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryRequestHandler.java
@@ -63,6 +63,7 @@
      * Creates a handler without a configuration.
      *
      * @param freshness whether a version of the configuration is proven to be fresh
+     * @param keysGivenOut whether keys may have been given out before this node started
      */
     public EntryRequestHandler(
             NodeId self,
@@ -70,18 +71,20 @@
             EntryContext context,
             QuarantinedRequests quarantined,
             LongPredicate freshness,
+            boolean keysGivenOut,
             RequestQuotas quotas) {
         this.self = self;
         this.incarnation = incarnation;
         this.context = context;
         this.quarantined = quarantined;
-        this.authenticator = new RequestAuthenticator(context, freshness);
+        this.authenticator = new RequestAuthenticator(context, freshness, keysGivenOut);
         this.quotas = quotas;
     }
 
     /** Routes new requests by the given configuration. */
     public void applyRoutes(RouteTable newRoutes) {
         routes = newRoutes;
+        authenticator.onConfiguration(newRoutes);
         roundRobins
                 .keySet()
                 .removeIf(
--- a/relay/src/main/java/org/damaskmoor/relay/internal/entry/RequestAuthenticator.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/RequestAuthenticator.java
@@ -10,6 +10,7 @@
 import org.damaskmoor.core.routetable.RouteTable;
 import org.damaskmoor.core.tenancy.Authentication;
 import org.damaskmoor.core.tenancy.Authenticator;
+import org.damaskmoor.core.tenancy.TenantTable;
 import org.damaskmoor.platform.protocol.HeaderNames;
 import org.damaskmoor.relay.internal.caller.CallerReply;
 import org.damaskmoor.relay.internal.caller.CallerRequest;
@@ -18,6 +19,10 @@
 /**
  * Finds the tenant of a request, removes its API key, and refuses it if it has no valid one.
  *
+ * <p>A configuration without a list of tenants asks for no keys. If keys may have been given out
+ * before, they are removed ones then: a request that carries one is refused all the same, and any
+ * other is served.
+ *
  * <p>Confined to the event loop. Invariants: if requests need keys, no header of an admitted
  * request contains credentials or names a tenant; no key is logged or counted.
  */
@@ -34,27 +39,32 @@
 
     private final EntryContext context;
     private final LongPredicate freshness;
+    private boolean keysGivenOut;
 
     /**
      * Creates an instance.
      *
      * @param freshness whether a version of the configuration is proven to be fresh
+     * @param keysGivenOut whether keys may have been given out before this node started
      */
-    RequestAuthenticator(EntryContext context, LongPredicate freshness) {
+    RequestAuthenticator(EntryContext context, LongPredicate freshness, boolean keysGivenOut) {
         this.context = context;
         this.freshness = freshness;
+        this.keysGivenOut = keysGivenOut;
+    }
+
+    /** The configuration in force has changed. */
+    void onConfiguration(RouteTable routes) {
+        keysGivenOut |= routes.tenants().requiresKeys();
     }
 
     /** Returns the request to serve, or replies that it is refused and returns empty. */
     Optional<AuthenticatedRequest> authenticate(
             CallerRequest request, Route route, RouteTable routes, Consumer<CallerReply> reply) {
-        if (!routes.tenants().requiresKeys()) {
+        Authentication result = check(credentials(request), route, routes);
+        if (result.detail() == Authentication.Detail.NOT_CHECKED) {
             return Optional.of(new AuthenticatedRequest(request, Optional.empty()));
         }
-        boolean proven = freshness.test(routes.version());
-        Authentication result =
-                Authenticator.authenticate(
-                        routes.tenants(), route.isPublic(), credentials(request), proven);
         String detail = result.detail().logName();
         if (result.outcome() == Authentication.Outcome.ADMITTED) {
             return Optional.of(new AuthenticatedRequest(clean(request), result.tenant()));
@@ -71,6 +81,17 @@
         return Optional.empty();
     }
 
+    private Authentication check(List<String> credentials, Route route, RouteTable routes) {
+        TenantTable tenants = routes.tenants();
+        if (!tenants.requiresKeys() && keysGivenOut && Authenticator.containKey(credentials)) {
+            // No proof is needed that a table without keys lacks a removed one.
+            return Authenticator.authenticate(
+                    TenantTable.NOBODY, route.isPublic(), credentials, true);
+        }
+        boolean proven = freshness.test(routes.version());
+        return Authenticator.authenticate(tenants, route.isPublic(), credentials, proven);
+    }
+
     private void log(
             String event, CallerRequest request, Route route, RouteTable routes, String reason) {
         context.log()
--- a/relay/src/test/java/org/damaskmoor/relay/ApiKeyTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/ApiKeyTest.java
@@ -162,6 +162,21 @@
         assertThat(received("/open/9").headers()).doesNotContainKey("tenant");
     }
 
+    /** Guards against removed keys that run, or reach upstreams, because the list is gone. */
+    @Test
+    void should_refuse_keys_when_the_list_of_tenants_has_been_removed() throws Exception {
+        // when
+        configure();
+        TestFleet.await(() -> status("/read/10", "") == 200);
+
+        // then
+        assertThat(status("/read/11", bearer(KEY))).isEqualTo(401);
+        assertThat(status("/read/11", "Authorization: Basic abc\r\n" + bearer(KEY))).isEqualTo(401);
+        assertThat(status("/read/11", bearer(UNKNOWN_KEY))).isEqualTo(401);
+        assertThat(status("/open/11", bearer(KEY))).isEqualTo(200);
+        assertThat(received("/open/11").headers()).doesNotContainKey("authorization");
+    }
+
     /** Guards against a part of an invalid configuration in force, or none at all. */
     @Test
     void should_keep_the_configuration_in_force_when_two_tenants_share_a_key() throws Exception {
--- a/relay/src/test/java/org/damaskmoor/relay/KeyRevocationTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/KeyRevocationTest.java
@@ -123,6 +123,22 @@
         TestFleet.await(() -> answer(relay, "/read/1", KEY).status() == 401);
     }
 
+    /** Guards against keys that run at a node that has started after their list was removed. */
+    @Test
+    void should_refuse_keys_when_the_list_of_tenants_was_removed_before_the_start()
+            throws Exception {
+        // given
+        version++;
+        fleet.store.putConfiguration(ConfigurationJson.of(version, PUBLIC_ROUTE));
+
+        // when
+        InProcessRelay relay = relay("relay", fleet.store.address());
+        TestFleet.await(() -> answerWithoutKey(relay, "/read/1").status() == 200);
+
+        // then
+        assertThat(answer(relay, "/read/2", KEY).status()).isEqualTo(401);
+    }
+
     /** Guards against 503 at a node that only hears from others that its configuration is fresh. */
     @Test
     void should_serve_keys_at_a_node_that_the_store_refuses_while_others_are_served()
@@ -309,9 +325,18 @@
 
     private static RawCaller.Answer answer(InProcessRelay relay, String path, String key)
             throws Exception {
+        return exchange(relay, path, "Authorization: Bearer " + key + "\r\n");
+    }
+
+    private static RawCaller.Answer answerWithoutKey(InProcessRelay relay, String path)
+            throws Exception {
+        return exchange(relay, path, "");
+    }
+
+    private static RawCaller.Answer exchange(InProcessRelay relay, String path, String headers)
+            throws Exception {
         try (RawCaller caller = relay.caller()) {
-            return caller.exchange(
-                    RawCaller.get(path, "r-1", "Authorization: Bearer " + key + "\r\n"));
+            return caller.exchange(RawCaller.get(path, "r-1", headers));
         }
     }
 }
--- a/relay/src/test/java/org/damaskmoor/relay/internal/entry/EntryEgressTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/internal/entry/EntryEgressTest.java
@@ -88,6 +88,7 @@
                                 metrics),
                         new NoQuarantine(),
                         version -> true,
+                        false,
                         new FakeQuotas());
         Route route =
                 new Route(
--- a/relay/src/test/java/org/damaskmoor/relay/internal/entry/EntryRequestHandlerTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/internal/entry/EntryRequestHandlerTest.java
@@ -83,6 +83,7 @@
                                 new RelayMetrics()),
                         new NoQuarantine(),
                         version -> true,
+                        false,
                         quotas);
         entry.applyRoutes(
                 new RouteTable(
