Search bodies for another answer in one pass

Callers saw: after one garbled answer of 4 MB without a length, whose body repeated its status line, the relay answered nobody for about 10 s.

Cause: EmbeddedAnswer matched a pattern against the whole body on the event loop. A status line is a possible header field too, so each of 235,000 status lines began a search of the 64 lines behind it.

Why this works: EmbeddedAnswerScanner looks at each byte once as it arrives and remembers the lines since the nearest status line.

Failed before: AnswerCostTest.should_cost_little_when_a_body_without_length_ repeats_status_lines and ..._when_chunks_repeat_status_lines, 2055 and 2003 ms of the event loop for 8 MB, bound 150.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnection.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/UpstreamConnection.java
@@ -69,6 +69,7 @@
     private int skippedAnswers;
     private long skippedBytes;
     private ByteString.Output body;
+    private EmbeddedAnswerScanner embedded;
     private long idleSince;
     private long keepAliveMilliseconds;
 
@@ -192,6 +193,7 @@
     private void onHead(AnswerHead received) {
         head = received;
         body = ByteString.newOutput();
+        embedded = new EmbeddedAnswerScanner();
         boolean matchesRequest =
                 healthChecking ? received.isOfHealthCheck() : received.isAnswerTo(requestId);
         skippingBody = received.isInterim() || !(matchesRequest || received.isRefusalWithoutId());
@@ -281,6 +283,9 @@
         byte[] bytes = new byte[length];
         content.content().getBytes(content.content().readerIndex(), bytes);
         body.write(bytes, 0, length);
+        if (!head.hasContentLength()) {
+            embedded.scan(bytes);
+        }
         if (!budget.add(this, length)) {
             channel.config().setAutoRead(false);
         }
@@ -339,7 +344,7 @@
         ByteString wholeBody = body.toByteString();
         boolean runsIntoAnother =
                 (decoder.hasMoreBytes() && decoder.isStatusLineWithin(wholeBody))
-                        || (!completed.hasContentLength() && EmbeddedAnswer.isWithin(wholeBody));
+                        || embedded.hasFound();
         if (runsIntoAnother) {
             fail("the answer runs into another one");
         } else {
