Match routes by no more of a path than the longest prefix

Cause: RouteTable.match looked up each part of the path that ends with a slash, the longest first, and copied and hashed it. The work grows with the square of the path's length, and each request is matched more than once.

Why this works: parts longer than the longest prefix of the host can't be a prefix; they are not looked at. What remains is bounded by the operator's prefixes.

Failed before: RequestCostTest.should_cost_little_when_a_path_has_many_ slashes. After: RequestCostTest, RouteTableTest, CallerProtocolTest and RequestSmugglingTest pass.

--- a/core/src/main/java/org/damaskmoor/core/routetable/RouteTable.java
+++ b/core/src/main/java/org/damaskmoor/core/routetable/RouteTable.java
@@ -20,7 +20,7 @@
  */
 public final class RouteTable {
     private final long version;
-    private final Map<String, Map<String, Route>> prefixesByHost = new HashMap<>();
+    private final Map<String, HostRoutes> routesByHost = new HashMap<>();
     private final Map<ServiceName, ServiceDefinition> services = new HashMap<>();
     private final List<Route> routes;
     private final CallerLimits limits;
@@ -58,9 +58,9 @@
             }
         }
         Route same =
-                prefixesByHost
-                        .computeIfAbsent(route.host(), host -> new HashMap<>())
-                        .putIfAbsent(route.prefix(), route);
+                routesByHost
+                        .computeIfAbsent(route.host(), host -> new HostRoutes())
+                        .putIfAbsent(route);
         if (same != null) {
             throw new IllegalArgumentException(
                     "Routes " + same.name() + " and " + route.name() + " have the same prefix.");
@@ -99,19 +99,8 @@
      * @param path the path without the query
      */
     public Optional<Route> match(String host, String path) {
-        Map<String, Route> prefixes = prefixesByHost.get(name(host));
-        if (prefixes == null) {
-            return Optional.empty();
-        }
-        int slash = path.lastIndexOf('/');
-        while (slash >= 0) {
-            Route route = prefixes.get(path.substring(0, slash + 1));
-            if (route != null) {
-                return Optional.of(route);
-            }
-            slash = path.lastIndexOf('/', slash - 1);
-        }
-        return Optional.empty();
+        HostRoutes routesOfHost = routesByHost.get(name(host));
+        return routesOfHost == null ? Optional.empty() : routesOfHost.match(path);
     }
 
     private static String name(String host) {
@@ -119,4 +108,29 @@
         String bare = colon < 0 ? host : host.substring(0, colon);
         return bare.toLowerCase(Locale.ROOT);
     }
+
+    /** The routes of one host. */
+    private static final class HostRoutes {
+        private final Map<String, Route> byPrefix = new HashMap<>();
+        private int longestPrefix;
+
+        /** Adds a route, unless one has its prefix already, which is returned then. */
+        Route putIfAbsent(Route route) {
+            longestPrefix = Math.max(longestPrefix, route.prefix().length());
+            return byPrefix.putIfAbsent(route.prefix(), route);
+        }
+
+        /** Looks at no more of the path than the longest prefix, however many slashes it has. */
+        Optional<Route> match(String path) {
+            int slash = path.lastIndexOf('/', longestPrefix - 1);
+            while (slash >= 0) {
+                Route route = byPrefix.get(path.substring(0, slash + 1));
+                if (route != null) {
+                    return Optional.of(route);
+                }
+                slash = path.lastIndexOf('/', slash - 1);
+            }
+            return Optional.empty();
+        }
+    }
 }
