Bound the folded lines of a head

Cause: the HTTP decoder copies a whole field for each line that continues it, so the work grows with the square of the head's length. The bound on fields does not count these lines.

Why this works: FoldedLineBound counts the lines before they are decoded and turns a head with more than 64 into a malformed message: the call fails, a caller gets 431. Folded fields are deprecated (RFC 9112, 5.2), and a recipient may reject them.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/caller/RequestDecoder.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/caller/RequestDecoder.java
@@ -1,5 +1,7 @@
 package org.damaskmoor.relay.internal.caller;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -8,6 +10,7 @@
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
+import org.damaskmoor.platform.http.FoldedLineBound;
 import org.damaskmoor.platform.protocol.HeaderNames;
 
 /**
@@ -20,10 +23,22 @@
  * <p>Confined to the event loop of its channel.
  */
 final class RequestDecoder extends HttpRequestDecoder {
+    private final FoldedLineBound foldedLines = new FoldedLineBound();
+
     RequestDecoder(HttpDecoderConfig configuration) {
         super(configuration);
     }
 
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> decoded)
+            throws Exception {
+        foldedLines.decode(
+                bytes,
+                decoded,
+                this::createInvalidMessage,
+                () -> super.decode(context, bytes, decoded));
+    }
+
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
         throw new IllegalArgumentException("A request has a Content-Length and is chunked.");
--- a/relay/src/test/java/org/damaskmoor/relay/AnswerCostTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/AnswerCostTest.java
@@ -18,6 +18,11 @@
     private static final int ANSWER_BYTES = 8_000_000;
     private static final String STATUS_LINE = "HTTP/1.1 200 OK\r\n";
 
+    /** Stands for the id of the request that is answered. */
+    private static final String ID = "(id)";
+
+    private static final String HEAD = STATUS_LINE + "Request-Id: " + ID + "\r\n";
+
     /**
      * The largest answer holds up others for less than half a second on a VM with 0.3 of a
      * processor.
@@ -46,24 +51,24 @@
     /** Guards against a search for a second answer that takes seconds. */
     @Test
     void should_cost_little_when_a_body_without_length_repeats_status_lines() throws Exception {
-        assertCheap("\r\n", STATUS_LINE);
+        assertCheap(HEAD + "\r\n", STATUS_LINE);
     }
 
     @Test
     void should_cost_little_when_a_body_without_length_contains_whole_heads() throws Exception {
-        assertCheap("\r\n", STATUS_LINE + "Name: value\r\n".repeat(65) + "\r\n");
+        assertCheap(HEAD + "\r\n", STATUS_LINE + "Name: value\r\n".repeat(65) + "\r\n");
     }
 
     @Test
     void should_cost_little_when_a_body_without_length_is_one_line() throws Exception {
-        assertCheap("\r\n", "HTTP/1.1 20");
+        assertCheap(HEAD + "\r\n", "HTTP/1.1 20");
     }
 
     @Test
     void should_cost_little_when_chunks_repeat_status_lines() throws Exception {
         String chunk = STATUS_LINE.repeat(240);
         assertCheap(
-                "Transfer-Encoding: chunked\r\n\r\n",
+                HEAD + "Transfer-Encoding: chunked\r\n\r\n",
                 Integer.toHexString(chunk.length()) + "\r\n" + chunk + "\r\n",
                 "0\r\n\r\n");
     }
@@ -72,21 +77,34 @@
     @Test
     void should_cost_little_when_bytes_follow_a_body_of_starts_of_status_lines() throws Exception {
         assertCheap(
-                "Content-Length: " + (ANSWER_BYTES - 1000) / 11 * 11 + "\r\n\r\n", "HTTP/1.1 20");
+                HEAD + "Content-Length: " + (ANSWER_BYTES - 1000) / 11 * 11 + "\r\n\r\n",
+                "HTTP/1.1 20");
+    }
+
+    /** Guards against fields that are copied once for each line that continues them. */
+    @Test
+    void should_cost_little_when_heads_of_skipped_answers_have_many_folded_lines()
+            throws Exception {
+        assertCheap(
+                "",
+                STATUS_LINE
+                        + "Request-Id: another\r\nContent-Length: 0\r\nName: value\r\n"
+                        + " a\r\n".repeat(15_000)
+                        + "\r\n");
     }
 
-    private void assertCheap(String restOfHead, String repeated) throws Exception {
-        assertCheap(restOfHead, repeated, "");
+    private void assertCheap(String head, String repeated) throws Exception {
+        assertCheap(head, repeated, "");
     }
 
-    private void assertCheap(String restOfHead, String repeated, String end) throws Exception {
+    private void assertCheap(String head, String repeated, String end) throws Exception {
         // given
         byte[] part =
                 repeated.repeat(8000 / repeated.length() + 1).getBytes(StandardCharsets.UTF_8);
         upstream.setScript(
                 (request, connection) -> {
-                    String head = STATUS_LINE + "Request-Id: " + request.id() + "\r\n" + restOfHead;
-                    write(connection.socket().getOutputStream(), head, part);
+                    String ownHead = head.replace(ID, request.id());
+                    write(connection.socket().getOutputStream(), ownHead, part);
                     connection.send(end);
                     connection.close();
                 });
--- a/relay/src/test/java/org/damaskmoor/relay/RequestCostTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/RequestCostTest.java
@@ -15,6 +15,7 @@
 class RequestCostTest {
     private static final int REQUESTS = 64;
     private static final int HEAD_BYTES = 16_000;
+    private static final int HEADERS_TOO_LARGE = 431;
 
     /**
      * A megabyte of requests holds up others for less than half a second on a VM with 0.3 of a
@@ -61,6 +62,13 @@
         assertCheap(RawCaller.get("/none/1", "names", "Connection: " + names + "\r\n"), 404);
     }
 
+    /** Guards against fields that are copied once for each line that continues them. */
+    @Test
+    void should_cost_little_when_a_head_has_many_folded_lines() throws Exception {
+        String lines = "Name: value\r\n" + " a\r\n".repeat(HEAD_BYTES / 4 - 200);
+        assertCheap(RawCaller.get("/none/1", "folded", lines), HEADERS_TOO_LARGE);
+    }
+
     private void assertCheap(String request, int expectedStatus) throws Exception {
         // given
         status(request);
