Requests without keys cost nothing more where none were given out

Names and comments of the scanner of embedded answers, after a second reading. ApiKeyTest, KeyRevocationTest, AuthenticatorTest and EmbeddedAnswerScannerTest pass.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/entry/RequestAuthenticator.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/RequestAuthenticator.java
@@ -39,6 +39,8 @@
 
     private final EntryContext context;
     private final LongPredicate freshness;
+
+    /** True from the first configuration on that requires keys. */
     private boolean keysGivenOut;
 
     /**
@@ -61,6 +63,9 @@
     /** Returns the request to serve, or replies that it is refused and returns empty. */
     Optional<AuthenticatedRequest> authenticate(
             CallerRequest request, Route route, RouteTable routes, Consumer<CallerReply> reply) {
+        if (!keysGivenOut) {
+            return Optional.of(new AuthenticatedRequest(request, Optional.empty()));
+        }
         Authentication result = check(credentials(request), route, routes);
         if (result.detail() == Authentication.Detail.NOT_CHECKED) {
             return Optional.of(new AuthenticatedRequest(request, Optional.empty()));
@@ -83,7 +88,7 @@
 
     private Authentication check(List<String> credentials, Route route, RouteTable routes) {
         TenantTable tenants = routes.tenants();
-        if (!tenants.requiresKeys() && keysGivenOut && Authenticator.containKey(credentials)) {
+        if (!tenants.requiresKeys() && Authenticator.containKey(credentials)) {
             // No proof is needed that a table without keys lacks a removed one.
             return Authenticator.authenticate(
                     TenantTable.NOBODY, route.isPublic(), credentials, true);
--- a/relay/src/main/java/org/damaskmoor/relay/internal/target/EmbeddedAnswerScanner.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/target/EmbeddedAnswerScanner.java
@@ -27,12 +27,18 @@
     private static final byte[] ID_FIELD =
             bytes(HeaderNames.REQUEST_ID.toLowerCase(Locale.ROOT) + ":");
 
-    /** Lines since the last status line of the head that the scanner may be in. */
+    /** Lines that have ended since the last status line, as long as they may be header fields. */
     private int fieldsSinceStatusLine = NO_STATUS_LINE;
 
+    /** Characters of a status line that the last bytes match. */
     private int statusLineMatched;
+
+    /** Characters of the id field that the beginning of this line matches. */
     private int idFieldMatched;
-    private boolean endsWithStatusLine;
+
+    /** Whether a status line begins in this line, behind its last single line break character. */
+    private boolean hasStatusLine;
+
     private boolean isEmptyLine = true;
     private boolean isBrokenLine;
     private boolean afterCarriageReturn;
@@ -78,14 +84,14 @@
     }
 
     private void endLine() {
-        if (endsWithStatusLine) {
+        if (hasStatusLine) {
             fieldsSinceStatusLine = 0;
         } else if (isEmptyLine || isBrokenLine || fieldsSinceStatusLine == MAX_FIELDS_BEFORE_ID) {
             fieldsSinceStatusLine = NO_STATUS_LINE;
         } else if (fieldsSinceStatusLine != NO_STATUS_LINE) {
             fieldsSinceStatusLine++;
         }
-        endsWithStatusLine = false;
+        hasStatusLine = false;
         statusLineMatched = 0;
         idFieldMatched = 0;
         isEmptyLine = true;
@@ -95,13 +101,13 @@
     /** A line break of one character ends no line of a head, but a status line may follow it. */
     private void breakLine() {
         isBrokenLine = true;
-        endsWithStatusLine = false;
+        hasStatusLine = false;
         statusLineMatched = 0;
         idFieldMatched = MISMATCH;
     }
 
     private void matchStatusLine(byte next) {
-        if (endsWithStatusLine) {
+        if (hasStatusLine) {
             return;
         }
         byte expected = STATUS_LINE[statusLineMatched];
@@ -112,7 +118,7 @@
             // The first character occurs nowhere else in a status line.
             statusLineMatched = next == STATUS_LINE[0] ? 1 : 0;
         }
-        endsWithStatusLine = statusLineMatched == STATUS_LINE.length;
+        hasStatusLine = statusLineMatched == STATUS_LINE.length;
     }
 
     private void matchIdField(byte next) {
