--- a/review/standin-3/Client.java
+++ b/review/standin-3/Client.java
@@ -94,7 +94,7 @@
         OutputStream output = socket.getOutputStream();
         output.write(head.getBytes(StandardCharsets.ISO_8859_1));
         byte[] piece = new byte[PIECE];
-        java.util.Arrays.fill(piece, ReelBackend.BODY_BYTE);
+        java.util.Arrays.fill(piece, (byte) 'b');
         for (long left = bodyBytes; left > 0; left -= PIECE) {
             output.write(piece, 0, (int) Math.min(PIECE, left));
         }
