--- a/review/13/Case13.java
+++ b/review/13/Case13.java
@@ -2,26 +2,21 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 import standin3.Client.Answer;
 
 /**
- * Requests wait at a relay for a backend that falls silent; its address goes to a backend of
- * another service before they start.
+ * Two beats of a backend arrive seconds late, after it has crashed, started again under its id and
+ * deregistered.
  */
 public final class Case13 {
-    private static final int BACKENDS = 3;
-    private static final int SLOTS = 2;
-    private static final int REQUESTS = 14;
-    private static final int WARM_REQUESTS = 4;
-    private static final long WORK_MILLISECONDS = 1500;
+    private static final int SLOTS = 4;
     private static final long BEAT_MILLISECONDS = 1500;
-    private static final long REUSE_AFTER_MILLISECONDS = 2000;
-    private static final long DEADLINE_MILLISECONDS = 10_000;
-    private static final long FIRST_DEADLINE_MILLISECONDS = 6000;
+    private static final long DRAIN_MILLISECONDS = 2500;
+
+    /** Time for which the leaving backend serves on; "drain and a little longer". */
+    private static final long SERVES_ON_MILLISECONDS = 5500;
+
+    private static final long REQUEST_INTERVAL_MILLISECONDS = 40;
 
     public static void main(String[] arguments) {
         Rig.run(arguments, Case13::play);
@@ -32,69 +27,78 @@
                 "op",
                 "config",
                 new Configuration("00000007")
-                        .route("/roster/", "idempotent", "register", "10000ms", "4000ms")
-                        .route("/visit/", "idempotent", "besuch", "10000ms", "4000ms")
+                        .route("/visit/", "idempotent", "besuch", "3000ms", "800ms")
                         .text());
-        Relay one = rig.startRelay(1, "sidecar-1", "zone-a", "register");
-        Relay two = rig.startRelay(2, "sidecar-2", "zone-a", "register");
+        Relay one = rig.startRelay(1, "sidecar-1", "zone-a", "besuch");
+        Relay two = rig.startRelay(2, "sidecar-2", "zone-a", "besuch");
         Relay three = rig.startRelay(3, "sidecar-3", "zone-b", "register");
-        Relay four = rig.startRelay(4, "sidecar-4", "zone-b", "besuch");
-        List<Relay> relays = List.of(one, two, three, four);
+        List<Relay> relays = List.of(one, two, three);
         rig.await("all relays", 20_000, () -> relays.stream().allMatch(Relay::isReady));
-        Backend silenced = backend(rig, one, "i-register-1", "register");
-        backend(rig, two, "i-register-2", "register");
-        backend(rig, three, "i-register-3", "register");
-        List<Backend> besuch = new ArrayList<>();
-        besuch.add(backend(rig, four, "i-besuch-1", "besuch"));
-        Thread.sleep(4000);
-        for (int i = 0; i < WARM_REQUESTS; i++) {
-            try (Client client = new Client(rig, one)) {
-                String path = i % 2 == 0 ? "/roster/warm" : "/visit/warm";
-                if (client.exchange("GET", path, "warm-" + i, 5000).status() != 200) {
-                    return Rig.COULD_NOT_RUN;
-                }
-            }
+        rig.keep(new Backend(rig, two, "i-other", "besuch", SLOTS, r -> 60)).beat(BEAT_MILLISECONDS);
+
+        Backend former = rig.keep(new Backend(rig, one, "i-leaver", "besuch", SLOTS, r -> 60));
+        for (int i = 0; i < 3; i++) {
+            former.announce("ready", former.nextSequence());
+            Thread.sleep(BEAT_MILLISECONDS);
         }
-        ExecutorService clients = Executors.newCachedThreadPool();
-        List<Future<Answer>> answers = new ArrayList<>();
-        for (int i = 1; i <= REQUESTS; i++) {
-            String id = "roster-" + i;
-            long deadline =
-                    i <= BACKENDS * SLOTS ? FIRST_DEADLINE_MILLISECONDS : DEADLINE_MILLISECONDS;
-            answers.add(
-                    clients.submit(
-                            () -> {
-                                try (Client client = new Client(rig, one)) {
-                                    return client.exchange("GET", "/roster/" + id, id, deadline);
-                                }
-                            }));
-            Thread.sleep(20);
+        long held = former.nextSequence();
+        long heldToo = former.nextSequence();
+        rig.note("beats held up", "i-leaver seq " + held + " now, seq " + heldToo + " in 1.5 s");
+        Thread.sleep(BEAT_MILLISECONDS + 300);
+        former.close();
+        rig.note("crash", "i-leaver born " + former.born);
+        Thread.sleep(500);
+        Backend leaver = rig.keep(new Backend(rig, one, "i-leaver", "besuch", SLOTS, r -> 60));
+        leaver.announce("ready", leaver.nextSequence());
+        Thread.sleep(BEAT_MILLISECONDS);
+        leaver.announce("ready", leaver.nextSequence());
+
+        int status = leaver.deregister();
+        long acknowledgedAt = System.nanoTime();
+        if (status != 200) {
+            return Rig.COULD_NOT_RUN;
         }
+        Thread lateBeats =
+                new Thread(
+                        () -> {
+                            try {
+                                Thread.sleep(1000);
+                                former.announce("ready", held);
+                                former.announce("ready", heldToo);
+                            } catch (Exception failure) {
+                                rig.note("could not send", failure.toString());
+                            }
+                        });
         if (rig.trouble) {
-            silenced.goDark();
-            Thread.sleep(REUSE_AFTER_MILLISECONDS + 300);
-            besuch.add(backend(rig, one, "i-besuch-2", "besuch"));
+            lateBeats.start();
         }
-        for (Future<Answer> answer : answers) {
-            answer.get(DEADLINE_MILLISECONDS + 3000, TimeUnit.MILLISECONDS);
+        List<String> sent = new ArrayList<>();
+        try (Client client = new Client(rig, three, true)) {
+            while (System.nanoTime() - acknowledgedAt < SERVES_ON_MILLISECONDS * 1_000_000L) {
+                String id = "visit-" + sent.size();
+                sent.add(id);
+                Answer answer = client.exchange("GET", "/visit/" + id, id, 3000);
+                if (answer.status() != 200) {
+                    rig.note("gets", id + " " + answer.status() + " " + answer.body());
+                }
+                Thread.sleep(REQUEST_INTERVAL_MILLISECONDS);
+            }
         }
-        clients.shutdownNow();
-        long foreign =
-                besuch.stream()
-                        .flatMap(backend -> backend.ran.stream())
-                        .filter(request -> request.target().startsWith("/roster/"))
+        long late =
+                leaver.ran.stream()
+                        .filter(
+                                request ->
+                                        request.at() - acknowledgedAt
+                                                > DRAIN_MILLISECONDS * 1_000_000L)
                         .count();
-        rig.note("judged", foreign + " requests of /roster/ ran at the service besuch");
-        return foreign > 0 ? Rig.BROKEN : Rig.HELD;
-    }
-
-    private static Backend backend(Rig rig, Relay relay, String id, String service)
-            throws Exception {
-        Backend backend =
-                rig.keep(
-                        new Backend(rig, relay, id, service, SLOTS, work -> WORK_MILLISECONDS));
-        backend.beat(BEAT_MILLISECONDS);
-        return backend;
+        rig.note(
+                "judged",
+                late
+                        + " of "
+                        + sent.size()
+                        + " requests reached i-leaver later than 2.5 s after the ack of its"
+                        + " deregistration");
+        return late > 0 ? Rig.BROKEN : Rig.HELD;
     }
 
     private Case13() {}
