--- a/review/standin-3/Rig.java
+++ b/review/standin-3/Rig.java
@@ -90,8 +90,8 @@
         String line =
                 String.format(
                         Locale.ROOT,
-                        "%8.3f s  %-22s %s",
-                        (System.nanoTime() - startedAt) / 1e9,
+                        "%7d ms  %-22s %s",
+                        (System.nanoTime() - startedAt) / 1_000_000,
                         event,
                         detail);
         record.println(line);
