--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,5 +1,10 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-[ -f target/damaskmoor-relay.jar ] && [ -d target/review-3 ] || { echo "build first" >&2; exit 2; }
-TROUBLE="${TROUBLE:-1}" exec java -Xmx256m -cp target/review-3 standin3.Case13 review/13
+[ -f target/damaskmoor-relay.jar ] && [ -f target/review-3/standin3/Case13.class ] || { echo "build first" >&2; exit 2; }
+TROUBLE="${TROUBLE:-1}" java -Xmx256m -cp target/review-3 standin3.Case13 review/13
+case $? in
+0) exit 0 ;;
+11) exit 1 ;;
+*) exit 2 ;;
+esac
--- a/review/standin-3/Relay.java
+++ b/review/standin-3/Relay.java
@@ -111,7 +111,7 @@
     /** Sends a signal, such as STOP or CONT, to the process. */
     public void signal(String signal) throws IOException, InterruptedException {
         rig.note("signal " + signal, name);
-        new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+        new ProcessBuilder("sh", "-c", "kill -" + signal + " " + process.pid()).start().waitFor();
     }
 
     /** Kills the process, if it runs. */
--- a/review/standin-3/Rig.java
+++ b/review/standin-3/Rig.java
@@ -26,11 +26,14 @@
  * ended when {@link #run} returns.
  */
 public final class Rig {
-    /** Exit codes of a case. */
+    /**
+     * Exit codes of a case. That of a broken rule is none that a JVM which fails by itself has;
+     * run.sh turns it into 1, and any other than 0 into 2.
+     */
     public static final int HELD = 0;
 
-    public static final int BROKEN = 1;
-    public static final int COULD_NOT_RUN = 2;
+    public static final int BROKEN = 11;
+    public static final int COULD_NOT_RUN = 12;
 
     /** First and number of the subnets of the loopback network that runs use. */
     private static final int MACHINE_NETWORK = 30;
