--- a/review/13/Case13.java
+++ b/review/13/Case13.java
@@ -1,22 +1,47 @@
 package standin3;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import standin3.Client.Answer;
 
 /**
- * The first beat of a backend arrives seconds late, after it has crashed and started again under
- * its id; the new lifetime then deregisters.
+ * Machines are stopped in turn while a backend leaves: the second one is that of the backend, which
+ * still runs bookings that clients of the first one have sent.
  */
 public final class Case13 {
-    private static final int SLOTS = 4;
+    /** The machine of the clients, that of the leaving backend, and three more of its service. */
+    private static final int MACHINES = 5;
+
+    private static final int SLOTS = 9;
+    private static final int BOOKINGS = 8;
+    private static final int WARM_BOOKINGS = 4;
+
+    /** The longest work on a booking in the site file. */
+    private static final long WORK_MILLISECONDS = 1700;
+
     private static final long BEAT_MILLISECONDS = 1500;
-    private static final long DRAIN_MILLISECONDS = 2500;
+    /** The client's deadline and the timeout of the route. */
+    private static final long DEADLINE_MILLISECONDS = 4000;
 
-    /** Time for which the leaving backend serves on; "drain and a little longer". */
-    private static final long SERVES_ON_MILLISECONDS = 5500;
+    /** Pause between two machines, as in the site file. */
+    private static final long GAP_MILLISECONDS = 1000;
 
-    private static final long REQUEST_INTERVAL_MILLISECONDS = 40;
+    private static final long FIRST_BOOKING_MILLISECONDS = 780;
+    private static final long BOOKING_INTERVAL_MILLISECONDS = 15;
+
+    /** What a client got, and how long after it had sent its booking. */
+    private record Outcome(Answer answer, long milliseconds) {
+        /** Whether it is no answer of the backend, although time was left. */
+        boolean isBrokenOff() {
+            boolean isWhole = answer.status() == 200 && answer.hasStamp();
+            return !isWhole && milliseconds < DEADLINE_MILLISECONDS;
+        }
+    }
 
     public static void main(String[] arguments) {
         Rig.run(arguments, Case13::play);
@@ -27,63 +52,85 @@
                 "op",
                 "config",
                 new Configuration("00000007")
-                        .route("/visit/", "idempotent", "besuch", "3000ms", "800ms")
+                        .route("/booking/", "non_idempotent", "besuch", "4000ms", "800ms")
+                        .route("/roster/", "idempotent", "register", "5000ms", "2000ms")
                         .text());
-        Relay one = rig.startRelay(1, "sidecar-1", "zone-a", "besuch");
-        Relay two = rig.startRelay(2, "sidecar-2", "zone-a", "besuch");
-        Relay three = rig.startRelay(3, "sidecar-3", "zone-b", "register");
-        List<Relay> relays = List.of(one, two, three);
+        Relay entry = rig.startRelay(1, "sidecar-1", "zone-a", "register");
+        Relay stopped = rig.startRelay(2, "sidecar-2", "zone-a", "besuch");
+        List<Relay> others = new ArrayList<>();
+        for (int machine = 3; machine <= MACHINES; machine++) {
+            others.add(rig.startRelay(machine, "sidecar-" + machine, "zone-b", "besuch"));
+        }
+        List<Relay> relays = new ArrayList<>(others);
+        relays.addAll(List.of(entry, stopped));
         rig.await("all relays", 20_000, () -> relays.stream().allMatch(Relay::isReady));
-        rig.keep(new Backend(rig, two, "i-other", "besuch", SLOTS, r -> 60)).beat(BEAT_MILLISECONDS);
-
-        Backend former = rig.keep(new Backend(rig, one, "i-leaver", "besuch", SLOTS, r -> 60));
-        long held = former.nextSequence();
-        rig.note("beat held up", "i-leaver born " + former.born + " seq " + held);
-        Thread.sleep(1000);
-        former.close();
-        rig.note("crash", "i-leaver born " + former.born);
-        Thread.sleep(400);
-        Backend leaver = rig.keep(new Backend(rig, one, "i-leaver", "besuch", SLOTS, r -> 60));
-        leaver.announce("ready", leaver.nextSequence());
-        Thread.sleep(BEAT_MILLISECONDS);
-        leaver.announce("ready", leaver.nextSequence());
-        Thread.sleep(600);
-        if (rig.trouble) {
-            former.announce("ready", held);
+        backend(rig, entry, "i-register-1", "register");
+        Backend leaver = backend(rig, stopped, "i-leaver", "besuch");
+        for (Relay other : others) {
+            backend(rig, other, "i-besuch-" + relays.indexOf(other), "besuch");
+        }
+        Thread.sleep(4000);
+        for (int i = 1; i <= WARM_BOOKINGS; i++) {
+            if (book(rig, entry, "warm-" + i).answer().status() != 200) {
+                return Rig.COULD_NOT_RUN;
+            }
         }
-        Thread.sleep(500);
-        int status = leaver.deregister();
-        long acknowledgedAt = System.nanoTime();
-        if (status != 200) {
+        // Machines are stopped in turn, that of the clients first.
+        entry.signal("TERM");
+        long begun = System.nanoTime();
+        ExecutorService clients = Executors.newCachedThreadPool();
+        List<Future<Outcome>> outcomes = new ArrayList<>();
+        Thread.sleep(FIRST_BOOKING_MILLISECONDS);
+        for (int i = 1; i <= BOOKINGS; i++) {
+            String id = "booking-" + i;
+            outcomes.add(clients.submit(() -> book(rig, entry, id)));
+            Thread.sleep(BOOKING_INTERVAL_MILLISECONDS);
+        }
+        if (leaver.deregister() != 200) {
             return Rig.COULD_NOT_RUN;
         }
-        List<String> sent = new ArrayList<>();
-        try (Client client = new Client(rig, three, true)) {
-            while (System.nanoTime() - acknowledgedAt < SERVES_ON_MILLISECONDS * 1_000_000L) {
-                String id = "visit-" + sent.size();
-                sent.add(id);
-                Answer answer = client.exchange("GET", "/visit/" + id, id, 3000);
-                if (answer.status() != 200) {
-                    rig.note("gets", id + " " + answer.status() + " " + answer.body());
-                }
-                Thread.sleep(REQUEST_INTERVAL_MILLISECONDS);
+        Thread.sleep(Math.max(0, GAP_MILLISECONDS - (System.nanoTime() - begun) / 1_000_000));
+        if (rig.trouble) {
+            stopped.signal("TERM");
+        }
+        int ran = 0;
+        int broken = 0;
+        for (int i = 1; i <= BOOKINGS; i++) {
+            String id = "booking-" + i;
+            Outcome outcome =
+                    outcomes.get(i - 1).get(DEADLINE_MILLISECONDS + 3000, TimeUnit.MILLISECONDS);
+            if (leaver.ran.stream().anyMatch(request -> request.id().equals(id))) {
+                ran++;
+                broken += outcome.isBrokenOff() ? 1 : 0;
             }
         }
-        long late =
-                leaver.ran.stream()
-                        .filter(
-                                request ->
-                                        request.at() - acknowledgedAt
-                                                > DRAIN_MILLISECONDS * 1_000_000L)
-                        .count();
+        clients.shutdownNow();
         rig.note(
                 "judged",
-                late
+                broken
                         + " of "
-                        + sent.size()
-                        + " requests reached i-leaver later than 2.5 s after the ack of its"
-                        + " deregistration");
-        return late > 0 ? Rig.BROKEN : Rig.HELD;
+                        + ran
+                        + " bookings that the leaving backend ran got no answer of it");
+        if (ran == 0) {
+            return Rig.COULD_NOT_RUN;
+        }
+        return broken > 0 ? Rig.BROKEN : Rig.HELD;
+    }
+
+    private static Outcome book(Rig rig, Relay entry, String id) throws IOException {
+        long sentAt = System.nanoTime();
+        try (Client client = new Client(rig, entry)) {
+            Answer answer = client.exchange("POST", "/booking/x", id, DEADLINE_MILLISECONDS);
+            return new Outcome(answer, (System.nanoTime() - sentAt) / 1_000_000);
+        }
+    }
+
+    private static Backend backend(Rig rig, Relay relay, String id, String service)
+            throws Exception {
+        Backend backend =
+                rig.keep(new Backend(rig, relay, id, service, SLOTS, work -> WORK_MILLISECONDS));
+        backend.beat(BEAT_MILLISECONDS);
+        return backend;
     }
 
     private Case13() {}
