Keep the link to a departed node until its calls have ended

Idempotent requests ran a second time elsewhere.

Cause: a node whose upstream leaves removes its record when its stop begins. FleetDirectory.drop took the end of a membership for the end of the link and closed it for good, with the calls on it; no outcome and no seal can come over a closed link.

Logs of the test on that code: record-removed at the target, member-removed at the entry 0.3 s later, call-answered status=200 at the target, request-ended status=502 outcome=seal at the entry.

Why this works: "no new calls" and "the link may be closed" are two decisions now. A link whose membership ended is retired: it takes no call, and closes when no outcome is awaited and no seal is queued. Each call ends by its deadline, a silent connection after 0.8 s, so no retired link lasts. A node that returns at the same address, or serves another service, gets the same link, since a target closes an entry's link for a newer one. A lost link concerns its own calls, no longer all calls to its node.

OutgoingLink's silence check and backoff moved into classes of their own.

--- a/relay/src/main/java/org/damaskmoor/relay/internal/LocalLink.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/LocalLink.java
@@ -92,6 +92,16 @@
         // This node needs no messages about what it already knows.
     }
 
+    @Override
+    public void retire(Runnable onClosed) {
+        // This node is always a member.
+    }
+
+    @Override
+    public void reinstate() {
+        // This node is always a member.
+    }
+
     @Override
     public void close() {
         // Open as long as the node runs.
--- a/relay/src/main/java/org/damaskmoor/relay/internal/NodeLinkListener.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/NodeLinkListener.java
@@ -6,6 +6,7 @@
 import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.relay.internal.entry.EntryRequestHandler;
 import org.damaskmoor.relay.internal.fleet.FleetDirectory;
+import org.damaskmoor.relay.internal.link.CallLink;
 import org.damaskmoor.relay.internal.link.CallOutcomeListener;
 import org.damaskmoor.relay.internal.link.LinkListener;
 import org.damaskmoor.relay.internal.quota.NodeQuotas;
@@ -55,8 +56,8 @@
     }
 
     @Override
-    public void onLinkLost(NodeId target) {
-        entry.get().onLinkLost(target);
+    public void onLinkLost(CallLink link) {
+        entry.get().onLinkLost(link);
     }
 
     @Override
--- a/relay/src/main/java/org/damaskmoor/relay/internal/SeedLinkListener.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/SeedLinkListener.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import org.damaskmoor.core.id.NodeId;
+import org.damaskmoor.relay.internal.link.CallLink;
 import org.damaskmoor.relay.internal.link.CallOutcomeListener;
 import org.damaskmoor.relay.internal.link.LinkListener;
 import org.damaskmoor.schema.link.FleetNews;
@@ -39,7 +40,7 @@
     }
 
     @Override
-    public void onLinkLost(NodeId target) {
+    public void onLinkLost(CallLink link) {
         // The link is opened again for the next request.
     }
 
--- a/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryExchange.java
@@ -21,6 +21,7 @@
 import org.damaskmoor.relay.internal.caller.CallerReply;
 import org.damaskmoor.relay.internal.caller.CallerRequest;
 import org.damaskmoor.relay.internal.fleet.FleetTarget;
+import org.damaskmoor.relay.internal.link.CallLink;
 import org.damaskmoor.relay.internal.time.Timers;
 import org.damaskmoor.schema.link.CallCancel;
 import org.damaskmoor.schema.link.CallSeal;
@@ -226,10 +227,10 @@
         }
     }
 
-    /** The link was lost over which attempts had been sent to the target. */
-    void onLinkLost(NodeId target) {
+    /** The link was lost over which attempts had been sent. */
+    void onLinkLost(CallLink link) {
         for (SentAttempt attempt : List.copyOf(attempts.values())) {
-            if (attempt.target.node().equals(target) && !attempt.isEnded()) {
+            if (attempt.target.link() == link && !attempt.isEnded()) {
                 needsRetryBudget = true;
                 perform(call.connectionLost(attemptId(attempt)));
             }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryRequestHandler.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/entry/EntryRequestHandler.java
@@ -20,6 +20,7 @@
 import org.damaskmoor.relay.internal.caller.CallerHandler;
 import org.damaskmoor.relay.internal.caller.CallerReply;
 import org.damaskmoor.relay.internal.caller.CallerRequest;
+import org.damaskmoor.relay.internal.link.CallLink;
 import org.damaskmoor.relay.internal.link.CallOutcomeListener;
 import org.damaskmoor.schema.link.CallSealed;
 import org.damaskmoor.schema.link.ForwardedAnswer;
@@ -241,10 +242,10 @@
         }
     }
 
-    /** The link to a target was lost, with calls sent over it. */
-    public void onLinkLost(NodeId target) {
+    /** A link to a target was lost, with calls sent over it. */
+    public void onLinkLost(CallLink link) {
         for (EntryExchange exchange : List.copyOf(exchanges.values())) {
-            exchange.onLinkLost(target);
+            exchange.onLinkLost(link);
         }
     }
 
--- a/relay/src/main/java/org/damaskmoor/relay/internal/fleet/FleetDirectory.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/FleetDirectory.java
@@ -28,7 +28,8 @@
  * The nodes of the fleet that this node knows from the store and from peers.
  *
  * <p>Confined to the event loop. Invariants: this node is always included; a record from a peer
- * replaces only an older one; a record from the store replaces any other.
+ * replaces only an older one; a record from the store replaces any other; the end of a membership
+ * cuts no call that has been sent, unless another node has taken the address.
  */
 public final class FleetDirectory implements TableWatch.Listener {
     /** Table of the store in which each node keeps its own record, keyed by its id. */
@@ -51,6 +52,7 @@
     private final Map<ServiceName, List<FleetTarget>> byService = new HashMap<>();
     private final Set<NodeId> storedNodes = new HashSet<>();
     private final FormerMembers formerMembers = new FormerMembers();
+    private final RetiredLinks retiredLinks;
     private long awaitingRecordsUntil = Long.MIN_VALUE;
     private boolean snapshotReceived;
     private boolean selfInFirstSnapshot;
@@ -78,6 +80,7 @@
         this.timers = timers;
         this.log = log;
         this.leavingUpstreams = leavingUpstreams;
+        this.retiredLinks = new RetiredLinks(log);
     }
 
     /** Adds this node. */
@@ -278,7 +281,8 @@
                     .with("node", expected)
                     .with("found", hello.getNodeId())
                     .write();
-            remove(expected);
+            storedNodes.remove(expected);
+            drop(expected).ifPresent(target -> target.link().close());
             return false;
         }
         find(expected).ifPresent(target -> target.updateLoad(hello.getLoad(), timers.now()));
@@ -309,9 +313,12 @@
             known.member(member);
             return;
         }
-        drop(node);
+        drop(node).ifPresent(retiredLinks::retire);
         formerMembers.onJoined(node);
-        CallLink link = linkFactory.link(node, address.get());
+        CallLink link =
+                retiredLinks
+                        .reinstate(node, member.getAddress())
+                        .orElseGet(() -> linkFactory.link(node, address.get()));
         TargetEstimate estimate =
                 new TargetEstimate(proximity(member), member.getSlots(), timers.now());
         put(new FleetTarget(node, member, estimate, link, leavingUpstreams));
@@ -334,20 +341,28 @@
 
     private void remove(NodeId node) {
         storedNodes.remove(node);
-        drop(node);
+        drop(node).ifPresent(retiredLinks::retire);
     }
 
-    private void drop(NodeId node) {
+    /**
+     * Removes a node, to which no more calls are sent; what becomes of its link is up to the
+     * caller.
+     */
+    private Optional<FleetTarget> drop(NodeId node) {
         if (node.equals(self)) {
-            return;
-        }
-        FleetTarget removed = targets.remove(node);
-        if (removed != null) {
-            digest -= removed.digest();
-            byService.get(new ServiceName(removed.member().getService())).remove(removed);
-            removed.link().close();
-            log.event("member-removed").with("node", node).with("members", targets.size()).write();
+            return Optional.empty();
         }
+        Optional<FleetTarget> dropped = Optional.ofNullable(targets.remove(node));
+        dropped.ifPresent(
+                target -> {
+                    digest -= target.digest();
+                    byService.get(new ServiceName(target.member().getService())).remove(target);
+                    log.event("member-removed")
+                            .with("node", node)
+                            .with("members", targets.size())
+                            .write();
+                });
+        return dropped;
     }
 
     private Proximity proximity(FleetMember member) {
--- a/relay/src/main/java/org/damaskmoor/relay/internal/link/CallLink.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/CallLink.java
@@ -47,6 +47,17 @@
     /** Requests what the target's node knows of the fleet. */
     void send(FleetRequest request);
 
-    /** Closes the link permanently. */
+    /**
+     * The target is no longer a member: the link takes no more calls, and closes permanently when
+     * the calls that were sent over it have ended.
+     *
+     * @param onClosed runs when the link closes, which may be at once
+     */
+    void retire(Runnable onClosed);
+
+    /** The target of a retired link is a member again, at the same address. */
+    void reinstate();
+
+    /** Closes the link permanently, without waiting for the outcomes of calls. */
     void close();
 }
--- a/relay/src/main/java/org/damaskmoor/relay/internal/link/LinkListener.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/LinkListener.java
@@ -20,7 +20,7 @@
     void onUnsent(NodeId target, List<ForwardedCall> calls);
 
     /** A link was lost over which calls had been sent; their outcomes are unknown. */
-    void onLinkLost(NodeId target);
+    void onLinkLost(CallLink link);
 
     /** A target acknowledged a report of the usage of quotas. */
     default void onQuotaGrant(NodeId target, QuotaGrant grant) {}
--- a/relay/src/main/java/org/damaskmoor/relay/internal/link/OutgoingLink.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/OutgoingLink.java
@@ -7,9 +7,8 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import java.net.InetSocketAddress;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
+import java.util.Optional;
 import java.util.function.Supplier;
 import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.relay.internal.log.ConnectionFailureLog;
@@ -26,6 +25,7 @@
 import org.damaskmoor.schema.link.QuotaGrant;
 import org.damaskmoor.schema.link.QuotaReport;
 import org.damaskmoor.schema.link.ReaderSign;
+import org.damaskmoor.schema.link.TargetLoad;
 import org.damaskmoor.schema.mesh.SealState;
 
 /**
@@ -36,32 +36,13 @@
  *
  * <p>Confined to the event loop. Invariants: each connection has a greater link number than the one
  * before; no call is written, and no other frame processed, before the target's hello; calls that
- * were never written are reported as unsent, calls that were written to a lost connection as lost.
+ * were never written are reported as unsent, calls that were written to a lost connection as lost;
+ * a retired link takes no calls, and closes when no outcome is awaited and no seal is queued.
  */
 final class OutgoingLink implements CallLink {
-    /** Silence after which a ping is sent; several round trips between regions. */
-    private static final long PING_AFTER_MILLISECONDS = 300;
-
-    /** Silence after a ping at which the connection counts as lost. */
-    private static final long LOST_AFTER_MILLISECONDS = 500;
-
-    /** How often a connection is checked for silence while an outcome is awaited. */
-    private static final long CHECK_INTERVAL_MILLISECONDS = 100;
-
-    /** Backoff before the next connection; doubles with each failure up to the maximum. */
-    private static final long MIN_BACKOFF_MILLISECONDS = 100;
-
-    private static final long MAX_BACKOFF_MILLISECONDS = 4000;
-
     /** Longest wait for the target's hello. */
     private static final long HELLO_TIMEOUT_MILLISECONDS = 800;
 
-    /**
-     * Stands for the answer to a frame about quotas. Without it, a stalled link that carries no
-     * calls would never be replaced.
-     */
-    private static final long QUOTA_SEQUENCE = 0;
-
     private final NodeId peer;
     private final InetSocketAddress address;
     private final Bootstrap bootstrap;
@@ -70,18 +51,15 @@
     private final LinkListener listener;
     private final ConnectionFailureLog failureLog;
     private final QueuedFrames queuedFrames = new QueuedFrames();
-    private final Set<Long> awaitedSequences = new HashSet<>();
+    private final ConnectBackoff backoff = new ConnectBackoff();
+    private final AwaitedOutcomes awaited;
     private Channel channel;
     private boolean connecting;
     private boolean helloReceived;
     private boolean closed;
-    private boolean failing;
-    private boolean checkScheduled;
+    private Optional<Runnable> retirement = Optional.empty();
     private long targetIncarnation;
-    private long lastReceivedAt;
-    private long pingedAt;
-    private long retryAt;
-    private long backoff = MIN_BACKOFF_MILLISECONDS;
+    private TargetLoad lastLoad = TargetLoad.getDefaultInstance();
 
     OutgoingLink(
             NodeId peer,
@@ -98,6 +76,7 @@
         this.timers = timers;
         this.listener = listener;
         this.failureLog = failureLog;
+        this.awaited = new AwaitedOutcomes(timers, this::ping, this::closeSilent);
     }
 
     @Override
@@ -107,7 +86,7 @@
 
     @Override
     public boolean isFailing() {
-        return failing && !isUp();
+        return backoff.isFailing() && !isUp();
     }
 
     @Override
@@ -117,7 +96,7 @@
 
     @Override
     public void open() {
-        if (channel != null || connecting || closed || timers.now() < retryAt) {
+        if (channel != null || connecting || closed || !backoff.mayConnect(timers.now())) {
             return;
         }
         connecting = true;
@@ -138,13 +117,12 @@
         connecting = false;
         if (!connected.isSuccess() || closed) {
             connected.channel().close();
-            scheduleRetry();
+            backoff.onFailed(timers.now());
             reportQueuedAsUnsent();
+            closeIfRetired();
             return;
         }
         channel = connected.channel();
-        lastReceivedAt = timers.now();
-        pingedAt = 0;
         Channel opened = channel;
         opened.closeFuture().addListener(done -> onClosed(opened));
         opened.writeAndFlush(helloFrames.get());
@@ -163,31 +141,32 @@
         }
         channel = null;
         helloReceived = false;
-        scheduleRetry();
-        awaitedSequences.remove(QUOTA_SEQUENCE);
-        boolean outcomesLost = !awaitedSequences.isEmpty();
-        awaitedSequences.clear();
+        backoff.onFailed(timers.now());
+        boolean outcomesLost = awaited.hasCalls();
+        awaited.clear();
         reportQueuedAsUnsent();
         if (outcomesLost) {
-            listener.onLinkLost(peer);
+            listener.onLinkLost(this);
         }
+        closeIfRetired();
     }
 
-    private void scheduleRetry() {
-        failing = true;
-        retryAt = timers.now() + backoff;
-        backoff = Math.min(2 * backoff, MAX_BACKOFF_MILLISECONDS);
+    private void reportQueuedAsUnsent() {
+        reportAsUnsent(queuedFrames.removeAll());
     }
 
-    private void reportQueuedAsUnsent() {
-        List<ForwardedCall> unsent = queuedFrames.removeAll();
-        if (!unsent.isEmpty()) {
-            listener.onUnsent(peer, unsent);
+    private void reportAsUnsent(List<ForwardedCall> calls) {
+        if (!calls.isEmpty()) {
+            listener.onUnsent(peer, calls);
         }
     }
 
     @Override
     public void send(ForwardedCall call) {
+        if (retirement.isPresent()) {
+            timers.execute(() -> listener.onUnsent(peer, List.of(call)));
+            return;
+        }
         LinkFrame frame = LinkFrame.newBuilder().setCall(call).build();
         open();
         boolean opening = connecting || channel != null;
@@ -208,17 +187,18 @@
     /** Opens the link as soon as it may be, without waiting for the next call to open it. */
     private void openAfterBackoff() {
         if (channel == null && !connecting && !closed) {
-            timers.schedule(Math.max(0, retryAt - timers.now()), this::open);
+            timers.schedule(backoff.remainingMilliseconds(timers.now()), this::open);
         }
     }
 
     @Override
     public void send(CallCancel cancel) {
-        awaitedSequences.remove(cancel.getSequence());
         queuedFrames.removeCall(cancel.getSequence());
         if (isUp()) {
             channel.writeAndFlush(LinkFrame.newBuilder().setCancel(cancel).build());
         }
+        awaited.remove(cancel.getSequence());
+        closeIfRetired();
     }
 
     @Override
@@ -264,92 +244,104 @@
     }
 
     private void write(LinkFrame frame) {
-        if (frame.hasCall()) {
-            awaitOutcome(frame.getCall().getSequence());
-        } else if (frame.hasSeal()) {
-            awaitOutcome(frame.getSeal().getSequence());
-        } else if (QuotaFrames.isQuotaFrame(frame)) {
-            awaitOutcome(QUOTA_SEQUENCE);
-        }
+        awaited.onWritten(frame);
         channel.write(frame);
     }
 
-    private void awaitOutcome(long sequence) {
-        if (awaitedSequences.isEmpty()) {
-            lastReceivedAt = timers.now();
-            pingedAt = 0;
-        }
-        awaitedSequences.add(sequence);
-        scheduleCheck();
+    private void ping() {
+        channel.writeAndFlush(
+                LinkFrame.newBuilder().setPing(LinkPing.getDefaultInstance()).build());
     }
 
-    private void scheduleCheck() {
-        if (!checkScheduled) {
-            checkScheduled = true;
-            timers.schedule(CHECK_INTERVAL_MILLISECONDS, this::checkSilence);
-        }
+    private void closeSilent() {
+        channel.close();
     }
 
-    /** Pings a silent connection, or closes it if a ping got no response. */
-    private void checkSilence() {
-        checkScheduled = false;
-        if (channel == null || awaitedSequences.isEmpty()) {
-            return;
-        }
-        long now = timers.now();
-        if (pingedAt > lastReceivedAt && now - pingedAt >= LOST_AFTER_MILLISECONDS) {
-            channel.close();
-            return;
+    @Override
+    public void retire(Runnable onClosed) {
+        retirement = Optional.of(onClosed);
+        reportAsUnsent(queuedFrames.removeAllButSeals());
+        closeIfRetired();
+    }
+
+    @Override
+    public void reinstate() {
+        retirement = Optional.empty();
+        backoff.reset();
+        // A member that was added again has no load report, and none may follow soon.
+        timers.execute(this::repeatLoad);
+    }
+
+    private void repeatLoad() {
+        if (isUp()) {
+            listener.outcomeListener(peer).onLoad(lastLoad);
         }
-        if (pingedAt <= lastReceivedAt && now - lastReceivedAt >= PING_AFTER_MILLISECONDS) {
-            pingedAt = now;
-            channel.writeAndFlush(
-                    LinkFrame.newBuilder().setPing(LinkPing.getDefaultInstance()).build());
+    }
+
+    /**
+     * Closes the link if it is retired and no longer needed. Each call is cancelled at its deadline
+     * at the latest, and a silent connection counts as lost, so that the link is not kept for good.
+     */
+    private void closeIfRetired() {
+        if (retirement.isPresent()
+                && !awaited.hasCalls()
+                && !queuedFrames.contains(LinkFrame::hasSeal)) {
+            close();
         }
-        scheduleCheck();
     }
 
     @Override
     public void close() {
         closed = true;
+        Optional<Runnable> ended = retirement;
+        retirement = Optional.empty();
         if (channel != null) {
             channel.close();
         }
         reportQueuedAsUnsent();
+        ended.ifPresent(Runnable::run);
     }
 
     private void onFrame(LinkFrame frame) {
-        lastReceivedAt = timers.now();
+        awaited.onReceived();
         if (!helloReceived && !frame.hasHello()) {
             channel.close();
             return;
         }
+        process(frame);
+        closeIfRetired();
+    }
+
+    private void process(LinkFrame frame) {
         switch (frame.getBodyCase()) {
             case HELLO -> onHello(frame.getHello());
             case ANSWER -> {
-                awaitedSequences.remove(frame.getAnswer().getSequence());
+                awaited.remove(frame.getAnswer().getSequence());
                 listener.outcomeListener(peer).onAnswered(frame.getAnswer());
             }
             case REFUSAL -> {
-                awaitedSequences.remove(frame.getRefusal().getSequence());
+                awaited.remove(frame.getRefusal().getSequence());
                 listener.outcomeListener(peer).onRefused(frame.getRefusal());
             }
             case FAILURE -> {
-                awaitedSequences.remove(frame.getFailure().getSequence());
+                awaited.remove(frame.getFailure().getSequence());
                 listener.outcomeListener(peer).onFailed(frame.getFailure());
             }
             case SEALED -> onSealed(frame.getSealed());
-            case LOAD -> listener.outcomeListener(peer).onLoad(frame.getLoad());
+            case LOAD -> {
+                lastLoad = frame.getLoad();
+                listener.outcomeListener(peer).onLoad(lastLoad);
+            }
             case FLEET_NEWS -> listener.onFleetNews(frame.getFleetNews());
             case QUOTA_GRANT -> {
-                awaitedSequences.remove(QUOTA_SEQUENCE);
+                awaited.removeQuotaFrame();
                 listener.onQuotaGrant(peer, frame.getQuotaGrant());
             }
             case QUOTA_REPORT -> {
-                awaitedSequences.remove(QUOTA_SEQUENCE);
+                awaited.removeQuotaFrame();
                 listener.onQuotaReport(peer, frame.getQuotaReport());
             }
-            case PONG -> awaitedSequences.remove(QUOTA_SEQUENCE);
+            case PONG -> awaited.removeQuotaFrame();
             default -> {
                 // A frame of a later protocol version; receiving it shows that the link
                 // works.
@@ -363,7 +355,7 @@
                 sealed.getState() == SealState.SEALED
                         || sealed.getState() == SealState.OTHER_INCARNATION;
         if (isFinal) {
-            awaitedSequences.remove(sealed.getSequence());
+            awaited.remove(sealed.getSequence());
         }
         listener.outcomeListener(peer).onSealed(sealed);
     }
@@ -374,10 +366,14 @@
         }
         helloReceived = true;
         FrameCodec.acceptLargeFrames(channel);
-        failing = false;
-        backoff = MIN_BACKOFF_MILLISECONDS;
+        backoff.reset();
         targetIncarnation = hello.getIncarnation();
-        listener.onHello(peer, hello);
+        lastLoad = hello.getLoad();
+        if (retirement.isEmpty()) {
+            listener.onHello(peer, hello);
+        } else if (!hello.getNodeId().equals(peer.value())) {
+            close();
+        }
         if (channel != null) {
             queuedFrames.drainTo(this::write);
             channel.flush();
--- a/relay/src/main/java/org/damaskmoor/relay/internal/link/QueuedFrames.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/QueuedFrames.java
@@ -39,13 +39,19 @@
 
     /** Removes all frames and returns the calls among them. */
     List<ForwardedCall> removeAll() {
-        List<ForwardedCall> calls = new ArrayList<>();
-        for (LinkFrame frame : frames) {
-            if (frame.hasCall()) {
-                calls.add(frame.getCall());
-            }
-        }
+        List<ForwardedCall> calls = calls();
         frames.clear();
         return calls;
     }
+
+    /** Removes all frames but seals and returns the calls among them. */
+    List<ForwardedCall> removeAllButSeals() {
+        List<ForwardedCall> calls = calls();
+        frames.removeIf(frame -> !frame.hasSeal());
+        return calls;
+    }
+
+    private List<ForwardedCall> calls() {
+        return frames.stream().filter(LinkFrame::hasCall).map(LinkFrame::getCall).toList();
+    }
 }
--- a/relay/src/test/java/org/damaskmoor/relay/internal/StoreReaderSuccessionTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/internal/StoreReaderSuccessionTest.java
@@ -253,6 +253,14 @@
             requests.add(request);
         }
 
+        @Override
+        public void retire(Runnable onClosed) {
+            onClosed.run();
+        }
+
+        @Override
+        public void reinstate() {}
+
         @Override
         public void close() {}
     }
--- a/relay/src/test/java/org/damaskmoor/relay/internal/entry/CandidateSelectionTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/internal/entry/CandidateSelectionTest.java
@@ -190,6 +190,14 @@
         @Override
         public void send(FleetRequest request) {}
 
+        @Override
+        public void retire(Runnable onClosed) {
+            onClosed.run();
+        }
+
+        @Override
+        public void reinstate() {}
+
         @Override
         public void close() {}
     }
--- a/relay/src/test/java/org/damaskmoor/relay/internal/entry/EntryRequestHandlerTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/internal/entry/EntryRequestHandlerTest.java
@@ -56,6 +56,7 @@
     private final List<SentCall> sent = new ArrayList<>();
     private final List<CallerReply> replies = new ArrayList<>();
     private final FakeQuotas quotas = new FakeQuotas();
+    private FleetDirectory fleet;
     private EntryRequestHandler entry;
 
     @BeforeEach
@@ -63,7 +64,7 @@
         ManualTimers timers = new ManualTimers();
         SilentLog log = new SilentLog();
         Random random = new Random(1);
-        FleetDirectory fleet =
+        fleet =
                 new FleetDirectory(
                         new NodeId("self"),
                         new RegionName("home"),
@@ -204,6 +205,26 @@
         assertThat(replies).isEmpty();
     }
 
+    /** A node that has moved has a link to each of its addresses for a while. */
+    @Test
+    void should_give_up_an_attempt_when_its_own_link_is_lost_and_no_other_one_to_its_node() {
+        // given
+        send("/read/1");
+        NodeId target = sent.get(0).target();
+
+        // when
+        entry.onLinkLost(new RecordingLink(target, sent));
+
+        // then
+        assertThat(sent).hasSize(1);
+
+        // when
+        entry.onLinkLost(fleet.find(target).orElseThrow().link());
+
+        // then
+        assertThat(sent).hasSize(2);
+    }
+
     /** Guards against requests above a quota that run, or are charged without a limit. */
     @Test
     void should_refuse_at_once_when_the_quota_of_the_tenant_is_used_up() {
--- a/relay/src/test/java/org/damaskmoor/relay/internal/entry/RecordingLink.java
+++ b/relay/src/test/java/org/damaskmoor/relay/internal/entry/RecordingLink.java
@@ -66,6 +66,14 @@
     @Override
     public void send(FleetRequest request) {}
 
+    @Override
+    public void retire(Runnable onClosed) {
+        onClosed.run();
+    }
+
+    @Override
+    public void reinstate() {}
+
     @Override
     public void close() {}
 }
--- a/relay/src/test/java/org/damaskmoor/relay/internal/link/OutgoingLinkTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/internal/link/OutgoingLinkTest.java
@@ -16,24 +16,20 @@
 import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.util.List;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.relay.fixture.SilentLog;
 import org.damaskmoor.relay.fixture.TestFleet;
 import org.damaskmoor.relay.internal.log.ConnectionFailureLog;
 import org.damaskmoor.relay.internal.time.EventLoopTimers;
+import org.damaskmoor.schema.link.CallCancel;
 import org.damaskmoor.schema.link.CallSeal;
-import org.damaskmoor.schema.link.CallSealed;
-import org.damaskmoor.schema.link.FleetNews;
 import org.damaskmoor.schema.link.ForwardedAnswer;
 import org.damaskmoor.schema.link.ForwardedCall;
-import org.damaskmoor.schema.link.ForwardedFailure;
-import org.damaskmoor.schema.link.ForwardedRefusal;
 import org.damaskmoor.schema.link.LinkFrame;
 import org.damaskmoor.schema.link.LinkHello;
 import org.damaskmoor.schema.link.QuotaReport;
-import org.damaskmoor.schema.link.TargetLoad;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -47,7 +43,8 @@
                     .build();
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
-    private final List<Long> answered = new CopyOnWriteArrayList<>();
+    private final RecordingLinkListener listener = new RecordingLinkListener();
+    private final AtomicInteger closed = new AtomicInteger();
     private ServerSocket target;
     private OutgoingLink link;
 
@@ -61,7 +58,7 @@
                         new Bootstrap().group(group).channel(NioSocketChannel.class),
                         () -> HELLO,
                         new EventLoopTimers(group.next()),
-                        new Recorder(),
+                        listener,
                         new ConnectionFailureLog(new SilentLog(), "outgoing-link"));
     }
 
@@ -83,7 +80,7 @@
             // then
             assertThat(isClosed(connection)).isTrue();
         }
-        assertThat(answered).isEmpty();
+        assertThat(listener.answered).isEmpty();
     }
 
     @Test
@@ -94,9 +91,9 @@
             write(connection, HELLO, answer(2));
 
             // then
-            TestFleet.await(() -> !answered.isEmpty());
+            TestFleet.await(() -> !listener.answered.isEmpty());
         }
-        assertThat(answered).containsExactly(2L);
+        assertThat(listener.answered).containsExactly(2L);
     }
 
     /**
@@ -126,6 +123,175 @@
         }
     }
 
+    /** Guards against answers that are lost because their node is no longer a member. */
+    @Test
+    void should_report_outcomes_of_earlier_calls_and_then_close_when_it_is_retired()
+            throws Exception {
+        // given
+        group.submit(link::open).get();
+        try (Socket connection = target.accept()) {
+            sendCalls(connection, 1, 2);
+
+            // when
+            retire();
+
+            // then
+            write(connection, answer(1));
+            TestFleet.await(() -> listener.answered.contains(1L));
+            assertThat(closed.get()).isEqualTo(0);
+            write(connection, answer(2));
+            TestFleet.await(() -> listener.answered.contains(2L));
+            TestFleet.await(() -> closed.get() == 1);
+            assertThat(isClosed(connection)).isTrue();
+        }
+    }
+
+    @Test
+    void should_take_no_call_when_it_is_retired() throws Exception {
+        // given
+        group.submit(link::open).get();
+        try (Socket connection = target.accept()) {
+            sendCalls(connection, 1);
+
+            // when
+            retire();
+            group.submit(() -> link.send(call(2))).get();
+
+            // then
+            TestFleet.await(() -> listener.unsent.contains(2L));
+        }
+    }
+
+    @Test
+    void should_report_calls_as_unsent_and_close_when_it_is_retired_before_the_hello()
+            throws Exception {
+        // given
+        group.submit(() -> link.send(call(1))).get();
+
+        // when
+        retire();
+
+        // then
+        TestFleet.await(() -> listener.unsent.contains(1L) && closed.get() == 1);
+    }
+
+    /** The last call may be one whose caller waits no longer, so that no outcome follows. */
+    @Test
+    void should_close_when_it_is_retired_and_its_last_call_is_cancelled() throws Exception {
+        // given
+        group.submit(link::open).get();
+        try (Socket connection = target.accept()) {
+            sendCalls(connection, 1);
+            retire();
+
+            // when
+            group.submit(() -> link.send(CallCancel.newBuilder().setSequence(1).build())).get();
+
+            // then
+            TestFleet.await(() -> closed.get() == 1);
+        }
+    }
+
+    /** Guards against bookings without an outcome when trouble comes twice. */
+    @Test
+    void should_ask_for_lost_outcomes_over_a_new_connection_when_it_is_retired() throws Exception {
+        // given
+        target.setSoTimeout(CLOSE_TIMEOUT_MILLISECONDS);
+        listener.sealLostCalls = true;
+        group.submit(link::open).get();
+        try (Socket connection = target.accept()) {
+            sendCalls(connection, 1);
+            retire();
+        }
+
+        // when
+        try (Socket next = target.accept()) {
+            assertThat(readFrame(next).hasHello()).isTrue();
+            write(next, HELLO);
+
+            // then
+            assertThat(readFrame(next).getSeal().getSequence()).isEqualTo(1);
+            write(next, answer(1));
+            TestFleet.await(() -> listener.answered.contains(1L) && closed.get() == 1);
+        }
+        assertThat(listener.hellos.get()).isEqualTo(1);
+    }
+
+    /** Guards against links that are kept for ever. */
+    @Test
+    void should_close_when_it_is_retired_and_its_target_is_gone() throws Exception {
+        // given
+        listener.sealLostCalls = true;
+        group.submit(link::open).get();
+        try (Socket connection = target.accept()) {
+            sendCalls(connection, 1);
+            retire();
+
+            // when
+            target.close();
+        }
+
+        // then
+        TestFleet.await(() -> closed.get() == 1);
+    }
+
+    @Test
+    void should_close_when_it_is_retired_and_its_target_is_silent() throws Exception {
+        // given
+        group.submit(link::open).get();
+        try (Socket connection = target.accept()) {
+            sendCalls(connection, 1);
+
+            // when
+            retire();
+
+            // then
+            TestFleet.await(() -> closed.get() == 1);
+        }
+    }
+
+    /** A second connection to the same node would end the first one, and the calls on it. */
+    @Test
+    void should_take_calls_over_the_same_connection_when_it_is_reinstated() throws Exception {
+        // given
+        group.submit(link::open).get();
+        try (Socket connection = target.accept()) {
+            sendCalls(connection, 1);
+            retire();
+
+            // when
+            group.submit(link::reinstate).get();
+            group.submit(() -> link.send(call(2))).get();
+
+            // then
+            assertThat(readFrame(connection).getCall().getSequence()).isEqualTo(2);
+            write(connection, answer(2), answer(1));
+            TestFleet.await(() -> listener.answered.equals(List.of(2L, 1L)));
+            assertThat(group.submit(link::isUp).get()).isTrue();
+            assertThat(listener.loads.get()).isEqualTo(1);
+            assertThat(closed.get()).isEqualTo(0);
+        }
+    }
+
+    /** Sends calls over a new connection, and reads them at its other end. */
+    private void sendCalls(Socket connection, long... sequences) throws Exception {
+        write(connection, HELLO);
+        TestFleet.await(() -> group.submit(link::isUp).get());
+        assertThat(readFrame(connection).hasHello()).isTrue();
+        for (long sequence : sequences) {
+            group.submit(() -> link.send(call(sequence))).get();
+            assertThat(readFrame(connection).getCall().getSequence()).isEqualTo(sequence);
+        }
+    }
+
+    private void retire() throws Exception {
+        group.submit(() -> link.retire(() -> closed.incrementAndGet())).get();
+    }
+
+    private static ForwardedCall call(long sequence) {
+        return ForwardedCall.newBuilder().setSequence(sequence).build();
+    }
+
     private static LinkFrame readFrame(Socket connection) throws IOException {
         DataInputStream input = new DataInputStream(connection.getInputStream());
         byte[] frame = new byte[input.readInt()];
@@ -177,40 +343,4 @@
         }
         connection.getOutputStream().write(bytes.toByteArray());
     }
-
-    private final class Recorder implements LinkListener, CallOutcomeListener {
-        @Override
-        public CallOutcomeListener outcomeListener(NodeId node) {
-            return this;
-        }
-
-        @Override
-        public void onHello(NodeId node, LinkHello hello) {}
-
-        @Override
-        public void onUnsent(NodeId node, List<ForwardedCall> calls) {}
-
-        @Override
-        public void onLinkLost(NodeId node) {}
-
-        @Override
-        public void onFleetNews(FleetNews update) {}
-
-        @Override
-        public void onAnswered(ForwardedAnswer answer) {
-            answered.add(answer.getSequence());
-        }
-
-        @Override
-        public void onRefused(ForwardedRefusal refusal) {}
-
-        @Override
-        public void onFailed(ForwardedFailure failure) {}
-
-        @Override
-        public void onSealed(CallSealed sealed) {}
-
-        @Override
-        public void onLoad(TargetLoad load) {}
-    }
 }
--- a/relay/src/test/java/org/damaskmoor/relay/internal/quota/NodeQuotasTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/internal/quota/NodeQuotasTest.java
@@ -247,6 +247,14 @@
         @Override
         public void send(FleetRequest request) {}
 
+        @Override
+        public void retire(Runnable onClosed) {
+            onClosed.run();
+        }
+
+        @Override
+        public void reinstate() {}
+
         @Override
         public void close() {}
     }
