Soak: take only an upstream's own answer for one that told of its notice

Nothing that callers saw.

Cause: NoticeChecker took any answer to a request that ran at the leaving upstream for an answer with the notice that its relay had passed on. A relay that gave a request up with a 502 of its own, before the request ran at an upstream whose node was paused, counted as told 3.6 s too early.

Why this is as strict: upstreams stamp each answer with their incarnation and a number, and the soak breaks NOT_ITS_STATUS for a success without a stamp. Each answer with a notice is still counted, from the moment at which its caller had it; answers without that upstream's stamp can't carry its notice.

After: NoticeCheckerTest passes.

--- a/soak/src/main/java/org/damaskmoor/soak/verification/NoticeChecker.java
+++ b/soak/src/main/java/org/damaskmoor/soak/verification/NoticeChecker.java
@@ -66,13 +66,17 @@
                 .map(run -> new EntryRun(exchange.relay(), exchange.sentAt(), run));
     }
 
-    /** When each relay had first passed on an answer with the notice. */
+    /**
+     * When each relay had first passed on an answer with the notice. An answer that a relay made
+     * itself, such as a 502, tells nothing of the upstream.
+     */
     private Map<Integer, Long> toldAt(Collection<Exchange> exchanges, Notice notice) {
         Map<Integer, Long> toldAt = new HashMap<>();
         for (Exchange exchange : exchanges) {
             boolean passedOn =
                     exchange.end() == Exchange.End.ANSWERED
                             && exchange.own()
+                            && exchange.stamp().startsWith(notice.upstream() + ".")
                             && runs(exchange, notice).findAny().isPresent();
             if (passedOn) {
                 toldAt.merge(exchange.relay(), exchange.endedAt(), Math::min);
--- a/soak/src/test/java/org/damaskmoor/soak/verification/NoticeCheckerTest.java
+++ b/soak/src/test/java/org/damaskmoor/soak/verification/NoticeCheckerTest.java
@@ -11,6 +11,8 @@
 class NoticeCheckerTest {
     private static final int ENTRY = 2;
     private static final String UPSTREAM = "upstream-1-1";
+    private static final int OK = 200;
+    private static final int BAD_GATEWAY = 502;
 
     private final DisturbanceLog disturbances = new DisturbanceLog();
     private final RunLedger ledger = new RunLedger();
@@ -45,7 +47,7 @@
     void should_not_count_requests_of_a_relay_that_was_not_told_or_that_was_disturbed() {
         // given
         for (int i = 0; i < 40; i++) {
-            exchanges.add(exchange("unanswered-" + i, 5000, Exchange.End.CLOSED));
+            exchanges.add(exchange("unanswered-" + i, 5000, Exchange.End.CLOSED, 0, ""));
             ledger.record("unanswered-" + i, new Run(1, UPSTREAM, 5010));
         }
         assertThat(limitViolations()).isEmpty();
@@ -66,7 +68,40 @@
         send(4000, 0);
 
         // then
-        assertThat(checker.violations(exchanges, List.of(Notice.leaving(UPSTREAM, 0)))).hasSize(1);
+        assertThat(leavingViolations()).hasSize(1);
+    }
+
+    /** A relay that makes an answer itself has not heard of the notice by it. */
+    @Test
+    void should_not_take_an_answer_of_the_relay_for_one_that_was_passed_on() {
+        // given a request that the relay gave up before it ran
+        exchanges.add(exchange("given-up", 0, Exchange.End.ANSWERED, BAD_GATEWAY, ""));
+        ledger.record("given-up", new Run(1, UPSTREAM, 1000));
+        send(3000, 0);
+
+        // then
+        assertThat(leavingViolations()).isEmpty();
+
+        // when
+        send(5600, 0);
+
+        // then
+        assertThat(leavingViolations()).hasSize(1);
+    }
+
+    @Test
+    void should_not_take_an_answer_of_another_upstream_for_one_with_the_notice() {
+        // given a request that ran at the leaving upstream, and was answered by another one
+        exchanges.add(exchange("twice", 0, Exchange.End.ANSWERED, OK, "upstream-1-10.7"));
+        ledger.record("twice", new Run(1, UPSTREAM, 10));
+        send(3000, 0);
+
+        // then
+        assertThat(leavingViolations()).isEmpty();
+    }
+
+    private List<String> leavingViolations() {
+        return checker.violations(exchanges, List.of(Notice.leaving(UPSTREAM, 0)));
     }
 
     private List<String> limitViolations() {
@@ -75,11 +110,12 @@
 
     private void send(long at, long took) {
         String id = "r" + exchanges.size();
-        exchanges.add(exchange(id, at, Exchange.End.ANSWERED));
+        exchanges.add(exchange(id, at, Exchange.End.ANSWERED, OK, UPSTREAM + "." + id));
         ledger.record(id, new Run(1, UPSTREAM, at + took));
     }
 
-    private static Exchange exchange(String id, long at, Exchange.End end) {
-        return new Exchange(id, ENTRY, false, 0, at, at + 20, end, 200, "", true);
+    private static Exchange exchange(
+            String id, long at, Exchange.End end, int status, String stamp) {
+        return new Exchange(id, ENTRY, false, 0, at, at + 20, end, status, stamp, true);
     }
 }
