Send the configuration before the first call to a node without one

Callers saw: nothing on the users' machines.

Cause: a relay that has just started and hears neither from the store nor from a peer doesn't know whether its service has a cold limit. After 2 s its calls started without one, although each of them came from a node that knew the configuration.

Why this works: a node without a configuration sends no calls. So the node at the other end of a link has one whenever it sends a call. If the target's hello tells that it has none, the configuration is written ahead of the first call, on the same connection, and is in force before that call is admitted. It is sent once for a connection, and only to a target without one.

--- a/core/src/main/java/org/damaskmoor/core/warmup/WarmUp.java
+++ b/core/src/main/java/org/damaskmoor/core/warmup/WarmUp.java
@@ -34,7 +34,7 @@
     /**
      * Time after the start of the node for which calls wait for the configuration, without which it
      * is unknown whether the service has a cold limit. The store answers sooner; without a store,
-     * peers send the configuration.
+     * peers send the configuration, at the latest with their first call.
      */
     private static final long MAX_UNCONFIGURED_MILLISECONDS = 2000;
 
--- a/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
@@ -91,10 +91,16 @@
         target.upstreamTracker().awaitHistory();
         this.dialer =
                 new LinkDialer(
-                        loop, this.timers, self, incarnation, this::configurationVersion, log);
+                        loop,
+                        this.timers,
+                        self,
+                        incarnation,
+                        this::configurationVersion,
+                        () -> configuration().compressedText(),
+                        log);
         this.fleet = createFleetDirectory();
         this.crashes = new CrashBroadcaster(self, fleet::all, this.timers, random, log);
-        this.quotas = createQuotas();
+        this.quotas = new NodeQuotas(self, incarnation, fleet, this.timers, log, metrics);
         StoreEra storeEra = new StoreEra(log, this::onStoreRestored);
         NodeFreshness freshness =
                 new NodeFreshness(settings, this.timers, storeEra, this::configuration, metrics);
@@ -137,10 +143,6 @@
         registerGauges();
     }
 
-    private NodeQuotas createQuotas() {
-        return new NodeQuotas(self, incarnation, fleet, timers, log, metrics);
-    }
-
     private TargetCallHandler createTarget(EventLoop loop) {
         NodeTargetCallbacks callbacks =
                 new NodeTargetCallbacks(
--- a/relay/src/main/java/org/damaskmoor/relay/internal/link/LinkDialer.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/LinkDialer.java
@@ -1,17 +1,21 @@
 package org.damaskmoor.relay.internal.link;
 
+import com.google.protobuf.ByteString;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.damaskmoor.core.id.Incarnation;
 import org.damaskmoor.core.id.NodeId;
 import org.damaskmoor.platform.protocol.TcpKeepAlive;
 import org.damaskmoor.relay.internal.log.ConnectionFailureLog;
 import org.damaskmoor.relay.internal.log.EventLog;
 import org.damaskmoor.relay.internal.time.Timers;
+import org.damaskmoor.schema.link.FleetNews;
+import org.damaskmoor.schema.link.LinkFrame;
 
 /** Creates links to other nodes. Confined to the event loop. */
 public final class LinkDialer {
@@ -20,16 +24,24 @@
 
     private final Bootstrap bootstrap;
     private final HelloFrameFactory helloFrames;
+    private final Supplier<ByteString> compressedConfiguration;
     private final Timers timers;
     private final ConnectionFailureLog failureLog;
 
+    /**
+     * Creates a dialer.
+     *
+     * @param compressedConfiguration the configuration in force, for nodes that have none
+     */
     public LinkDialer(
             EventLoop loop,
             Timers timers,
             NodeId self,
             Incarnation incarnation,
             LongSupplier configurationVersion,
+            Supplier<ByteString> compressedConfiguration,
             EventLog log) {
+        this.compressedConfiguration = compressedConfiguration;
         this.timers = timers;
         this.failureLog = new ConnectionFailureLog(log, "outgoing-link");
         this.helloFrames = new HelloFrameFactory(self, incarnation, configurationVersion);
@@ -42,6 +54,14 @@
         TcpKeepAlive.enable(bootstrap);
     }
 
+    private LinkFrame configurationFrame() {
+        FleetNews update =
+                FleetNews.newBuilder()
+                        .setCompressedConfiguration(compressedConfiguration.get())
+                        .build();
+        return LinkFrame.newBuilder().setFleetNews(update).build();
+    }
+
     /** Creates a link that is opened when it is first needed. */
     public CallLink link(NodeId peer, InetSocketAddress address, LinkListener listener) {
         return new OutgoingLink(
@@ -49,6 +69,7 @@
                 address,
                 bootstrap,
                 () -> helloFrames.create(peer.value()),
+                this::configurationFrame,
                 timers,
                 listener,
                 failureLog);
@@ -65,6 +86,7 @@
                 address,
                 bootstrap,
                 () -> helloFrames.create(""),
+                this::configurationFrame,
                 timers,
                 listener,
                 failureLog);
--- a/relay/src/main/java/org/damaskmoor/relay/internal/link/OutgoingLink.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/OutgoingLink.java
@@ -3,9 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.SimpleChannelInboundHandler;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
@@ -35,9 +33,10 @@
  * arrives: connections can stall for good while new ones work.
  *
  * <p>Confined to the event loop. Invariants: each connection has a greater link number than the one
- * before; no call is written, and no other frame processed, before the target's hello; calls that
- * were never written are reported as unsent, calls that were written to a lost connection as lost;
- * a retired link takes no calls, and closes when no outcome is awaited and no seal is queued.
+ * before; no call is written, and no other frame processed, before the target's hello; a target
+ * that had no configuration at its hello gets this node's before the first call; calls that were
+ * never written are reported as unsent, calls that were written to a lost connection as lost; a
+ * retired link takes no calls, and closes when no outcome is awaited and no seal is queued.
  */
 final class OutgoingLink implements CallLink {
     /** Longest wait for the target's hello. */
@@ -47,6 +46,7 @@
     private final InetSocketAddress address;
     private final Bootstrap bootstrap;
     private final Supplier<LinkFrame> helloFrames;
+    private final Supplier<LinkFrame> configurationFrames;
     private final Timers timers;
     private final LinkListener listener;
     private final ConnectionFailureLog failureLog;
@@ -58,6 +58,7 @@
     private boolean helloReceived;
     private boolean closed;
     private Optional<Runnable> retirement = Optional.empty();
+    private boolean targetUnconfigured;
     private long targetIncarnation;
     private TargetLoad lastLoad = TargetLoad.getDefaultInstance();
 
@@ -66,6 +67,7 @@
             InetSocketAddress address,
             Bootstrap bootstrap,
             Supplier<LinkFrame> helloFrames,
+            Supplier<LinkFrame> configurationFrames,
             Timers timers,
             LinkListener listener,
             ConnectionFailureLog failureLog) {
@@ -73,6 +75,7 @@
         this.address = address;
         this.bootstrap = bootstrap;
         this.helloFrames = helloFrames;
+        this.configurationFrames = configurationFrames;
         this.timers = timers;
         this.listener = listener;
         this.failureLog = failureLog;
@@ -106,7 +109,9 @@
                         new ChannelInitializer<>() {
                             @Override
                             protected void initChannel(Channel created) {
-                                FrameCodec.add(created, new Handler());
+                                FrameCodec.add(
+                                        created,
+                                        new FrameReader(OutgoingLink.this::onFrame, failureLog));
                             }
                         })
                 .connect(address)
@@ -244,6 +249,10 @@
     }
 
     private void write(LinkFrame frame) {
+        if (frame.hasCall() && targetUnconfigured) {
+            targetUnconfigured = false;
+            channel.write(configurationFrames.get());
+        }
         awaited.onWritten(frame);
         channel.write(frame);
     }
@@ -302,7 +311,10 @@
         ended.ifPresent(Runnable::run);
     }
 
-    private void onFrame(LinkFrame frame) {
+    private void onFrame(Channel source, LinkFrame frame) {
+        if (source != channel) {
+            return;
+        }
         awaited.onReceived();
         if (!helloReceived && !frame.hasHello()) {
             channel.close();
@@ -368,6 +380,7 @@
         FrameCodec.acceptLargeFrames(channel);
         backoff.reset();
         targetIncarnation = hello.getIncarnation();
+        targetUnconfigured = hello.getConfigurationVersion() == 0;
         lastLoad = hello.getLoad();
         if (retirement.isEmpty()) {
             listener.onHello(peer, hello);
@@ -379,18 +392,4 @@
             channel.flush();
         }
     }
-
-    private final class Handler extends SimpleChannelInboundHandler<LinkFrame> {
-        @Override
-        protected void channelRead0(ChannelHandlerContext context, LinkFrame frame) {
-            if (context.channel() == channel) {
-                onFrame(frame);
-            }
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            failureLog.close(context, cause);
-        }
-    }
 }
--- a/relay/src/test/java/org/damaskmoor/relay/ColdUpstreamTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/ColdUpstreamTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.damaskmoor.platform.standin.ConfigurationJson;
 import org.damaskmoor.platform.standin.RawCaller;
+import org.damaskmoor.platform.standin.StoreStandIn;
 import org.damaskmoor.platform.standin.UpstreamStandIn;
 import org.damaskmoor.relay.fixture.InProcessRelay;
 import org.damaskmoor.relay.fixture.TestFleet;
@@ -150,6 +151,29 @@
         assertThat(target.log()).contains("event=upstream-cold-unreadable");
     }
 
+    /** Guards against calls that start without a limit before the configuration is known. */
+    @Test
+    void
+            should_pace_calls_when_the_relay_gets_no_configuration_from_store_or_seeds_after_a_restart()
+                    throws Exception {
+        // given
+        send("before");
+        fleet.store.setMode(StoreStandIn.Mode.UNAVAILABLE);
+        target.kill();
+        upstream.sayCold(2900);
+        final long killedAt = System.nanoTime();
+
+        // when
+        target = fleet.restartAlone(target, upstream);
+        target.announceCold("i-1", 100, 3, "2900ms");
+        List<RawCaller.Answer> answers = sendFor(2800);
+
+        // then
+        assertThat(mostInASecond(upstream, killedAt)).isAtMost(PACE);
+        assertThat(answered(answers)).isAtLeast(COLD_PER_SECOND);
+        assertThat(target.log()).contains("event=configuration-in-force version=2");
+    }
+
     /** Guards against a warm upstream that is paced because it sent a faulty answer. */
     @Test
     void should_not_assume_a_restart_when_an_answer_can_not_be_read() throws Exception {
--- a/relay/src/test/java/org/damaskmoor/relay/internal/link/OutgoingLinkTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/internal/link/OutgoingLinkTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.protobuf.ByteString;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -25,6 +26,7 @@
 import org.damaskmoor.relay.internal.time.EventLoopTimers;
 import org.damaskmoor.schema.link.CallCancel;
 import org.damaskmoor.schema.link.CallSeal;
+import org.damaskmoor.schema.link.FleetNews;
 import org.damaskmoor.schema.link.ForwardedAnswer;
 import org.damaskmoor.schema.link.ForwardedCall;
 import org.damaskmoor.schema.link.LinkFrame;
@@ -37,9 +39,14 @@
 class OutgoingLinkTest {
     private static final int CLOSE_TIMEOUT_MILLISECONDS = 5000;
 
-    private static final LinkFrame HELLO =
+    private static final LinkFrame HELLO = hello(1);
+    private static final LinkFrame UNCONFIGURED_HELLO = hello(0);
+
+    private static final LinkFrame CONFIGURATION =
             LinkFrame.newBuilder()
-                    .setHello(LinkHello.newBuilder().setNodeId("target").setIncarnation(1))
+                    .setFleetNews(
+                            FleetNews.newBuilder()
+                                    .setConfiguration(ByteString.copyFromUtf8("configuration")))
                     .build();
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
@@ -57,6 +64,7 @@
                         (InetSocketAddress) target.getLocalSocketAddress(),
                         new Bootstrap().group(group).channel(NioSocketChannel.class),
                         () -> HELLO,
+                        () -> CONFIGURATION,
                         new EventLoopTimers(group.next()),
                         listener,
                         new ConnectionFailureLog(new SilentLog(), "outgoing-link"));
@@ -123,6 +131,28 @@
         }
     }
 
+    /** Guards against calls at a target that doesn't know the limits of its upstream. */
+    @Test
+    void should_send_the_configuration_before_the_first_call_when_the_target_has_none()
+            throws Exception {
+        // given
+        group.submit(link::open).get();
+        try (Socket connection = target.accept()) {
+            write(connection, UNCONFIGURED_HELLO);
+            TestFleet.await(() -> group.submit(link::isUp).get());
+            assertThat(readFrame(connection).hasHello()).isTrue();
+
+            // when
+            group.submit(() -> link.send(call(1))).get();
+            group.submit(() -> link.send(call(2))).get();
+
+            // then
+            assertThat(readFrame(connection)).isEqualTo(CONFIGURATION);
+            assertThat(readFrame(connection).getCall().getSequence()).isEqualTo(1);
+            assertThat(readFrame(connection).getCall().getSequence()).isEqualTo(2);
+        }
+    }
+
     /** Guards against answers that are lost because their node is no longer a member. */
     @Test
     void should_report_outcomes_of_earlier_calls_and_then_close_when_it_is_retired()
@@ -328,6 +358,16 @@
         return true;
     }
 
+    private static LinkFrame hello(long configurationVersion) {
+        return LinkFrame.newBuilder()
+                .setHello(
+                        LinkHello.newBuilder()
+                                .setNodeId("target")
+                                .setIncarnation(1)
+                                .setConfigurationVersion(configurationVersion))
+                .build();
+    }
+
     private static LinkFrame answer(long sequence) {
         return LinkFrame.newBuilder()
                 .setAnswer(ForwardedAnswer.newBuilder().setSequence(sequence))
