--- a/relay/src/test/java/org/damaskmoor/relay/internal/StoreReaderSuccessionTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/internal/StoreReaderSuccessionTest.java
@@ -16,6 +16,7 @@
 import org.damaskmoor.core.id.RegionName;
 import org.damaskmoor.platform.protocol.StoredRow;
 import org.damaskmoor.platform.standin.ConfigurationJson;
+import org.damaskmoor.relay.fixture.IdleLink;
 import org.damaskmoor.relay.fixture.ManualTimers;
 import org.damaskmoor.relay.fixture.SilentLog;
 import org.damaskmoor.relay.internal.fleet.ConfigurationHolder;
@@ -23,17 +24,10 @@
 import org.damaskmoor.relay.internal.fleet.FleetDirectory;
 import org.damaskmoor.relay.internal.fleet.LeavingUpstreams;
 import org.damaskmoor.relay.internal.fleet.StoreEra;
-import org.damaskmoor.relay.internal.link.CallLink;
 import org.damaskmoor.relay.internal.log.EventLog;
 import org.damaskmoor.relay.internal.revocation.FreshnessTracker;
-import org.damaskmoor.schema.link.CallCancel;
-import org.damaskmoor.schema.link.CallSeal;
 import org.damaskmoor.schema.link.FleetMember;
-import org.damaskmoor.schema.link.FleetNews;
 import org.damaskmoor.schema.link.FleetRequest;
-import org.damaskmoor.schema.link.ForwardedCall;
-import org.damaskmoor.schema.link.QuotaGrant;
-import org.damaskmoor.schema.link.QuotaReport;
 import org.damaskmoor.schema.link.ReaderSign;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -206,62 +200,12 @@
         public void catchUp() {}
     }
 
-    private static final class RecordingLink implements CallLink {
+    private static final class RecordingLink extends IdleLink {
         final List<FleetRequest> requests = new ArrayList<>();
 
-        @Override
-        public boolean isUp() {
-            return true;
-        }
-
-        @Override
-        public boolean isFailing() {
-            return false;
-        }
-
-        @Override
-        public long targetIncarnation() {
-            return 1;
-        }
-
-        @Override
-        public void open() {}
-
-        @Override
-        public void send(ForwardedCall call) {}
-
-        @Override
-        public void send(CallSeal seal) {}
-
-        @Override
-        public void send(CallCancel cancel) {}
-
-        @Override
-        public void send(FleetNews update) {}
-
-        @Override
-        public void send(ReaderSign sign) {}
-
-        @Override
-        public void send(QuotaReport report) {}
-
-        @Override
-        public void send(QuotaGrant grant) {}
-
         @Override
         public void send(FleetRequest request) {
             requests.add(request);
         }
-
-        @Override
-        public void retire(Runnable onClosed) {
-            onClosed.run();
-        }
-
-        @Override
-        public void reinstate() {}
-
-        @Override
-        public void close() {}
     }
 }
--- a/relay/src/test/java/org/damaskmoor/relay/internal/entry/CandidateSelectionTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/internal/entry/CandidateSelectionTest.java
@@ -15,22 +15,14 @@
 import org.damaskmoor.core.id.ServiceName;
 import org.damaskmoor.core.routetable.Route;
 import org.damaskmoor.core.routetable.WeightedService;
+import org.damaskmoor.relay.fixture.IdleLink;
 import org.damaskmoor.relay.fixture.ManualTimers;
 import org.damaskmoor.relay.fixture.SilentLog;
 import org.damaskmoor.relay.internal.caller.CallerRequest;
 import org.damaskmoor.relay.internal.fleet.FleetDirectory;
 import org.damaskmoor.relay.internal.fleet.FleetTarget;
 import org.damaskmoor.relay.internal.fleet.LeavingUpstreams;
-import org.damaskmoor.relay.internal.link.CallLink;
-import org.damaskmoor.schema.link.CallCancel;
-import org.damaskmoor.schema.link.CallSeal;
 import org.damaskmoor.schema.link.FleetMember;
-import org.damaskmoor.schema.link.FleetNews;
-import org.damaskmoor.schema.link.FleetRequest;
-import org.damaskmoor.schema.link.ForwardedCall;
-import org.damaskmoor.schema.link.QuotaGrant;
-import org.damaskmoor.schema.link.QuotaReport;
-import org.damaskmoor.schema.link.ReaderSign;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -139,7 +131,7 @@
     }
 
     /** A link whose connection was lost, which records that it is opened. */
-    private final class ClosedLink implements CallLink {
+    private final class ClosedLink extends IdleLink {
         private final NodeId target;
 
         ClosedLink(NodeId target) {
@@ -156,49 +148,9 @@
             return target.value().equals("two");
         }
 
-        @Override
-        public long targetIncarnation() {
-            return 1;
-        }
-
         @Override
         public void open() {
             opened.add(target);
         }
-
-        @Override
-        public void send(ForwardedCall call) {}
-
-        @Override
-        public void send(CallSeal seal) {}
-
-        @Override
-        public void send(CallCancel cancel) {}
-
-        @Override
-        public void send(FleetNews update) {}
-
-        @Override
-        public void send(ReaderSign sign) {}
-
-        @Override
-        public void send(QuotaReport report) {}
-
-        @Override
-        public void send(QuotaGrant grant) {}
-
-        @Override
-        public void send(FleetRequest request) {}
-
-        @Override
-        public void retire(Runnable onClosed) {
-            onClosed.run();
-        }
-
-        @Override
-        public void reinstate() {}
-
-        @Override
-        public void close() {}
     }
 }
--- a/relay/src/test/java/org/damaskmoor/relay/internal/fleet/FleetDirectoryTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/internal/fleet/FleetDirectoryTest.java
@@ -11,19 +11,11 @@
 import org.damaskmoor.core.id.RegionName;
 import org.damaskmoor.core.id.ServiceName;
 import org.damaskmoor.platform.protocol.StoredRow;
+import org.damaskmoor.relay.fixture.IdleLink;
 import org.damaskmoor.relay.fixture.ManualTimers;
 import org.damaskmoor.relay.fixture.SilentLog;
-import org.damaskmoor.relay.internal.link.CallLink;
-import org.damaskmoor.schema.link.CallCancel;
-import org.damaskmoor.schema.link.CallSeal;
 import org.damaskmoor.schema.link.FleetMember;
-import org.damaskmoor.schema.link.FleetNews;
-import org.damaskmoor.schema.link.FleetRequest;
-import org.damaskmoor.schema.link.ForwardedCall;
 import org.damaskmoor.schema.link.LinkHello;
-import org.damaskmoor.schema.link.QuotaGrant;
-import org.damaskmoor.schema.link.QuotaReport;
-import org.damaskmoor.schema.link.ReaderSign;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -37,6 +29,7 @@
     private static final String NEW_ADDRESS = "127.0.0.3:1";
 
     private final List<RecordingLink> links = new ArrayList<>();
+    private final ManualTimers timers = new ManualTimers();
     private FleetDirectory fleet;
 
     @BeforeEach
@@ -51,7 +44,7 @@
                             links.add(new RecordingLink());
                             return links.get(links.size() - 1);
                         },
-                        new ManualTimers(),
+                        timers,
                         log,
                         new LeavingUpstreams(log));
         fleet.onChange(row(member().build()));
@@ -87,18 +80,6 @@
     @Test
     void should_retire_the_link_when_the_store_has_lost_the_record_of_an_unreachable_node() {
         // given
-        ManualTimers timers = new ManualTimers();
-        SilentLog log = new SilentLog();
-        fleet =
-                new FleetDirectory(
-                        new NodeId("self"),
-                        new RegionName("home"),
-                        new DataCentreName("home-1"),
-                        (node, address) -> links.get(0),
-                        timers,
-                        log,
-                        new LeavingUpstreams(log));
-        fleet.onSnapshot(List.of(row(member().build())));
         links.get(0).up = false;
 
         // when
@@ -198,7 +179,7 @@
     }
 
     /** A link on which calls are open. */
-    private static final class RecordingLink implements CallLink {
+    private static final class RecordingLink extends IdleLink {
         private String state = "open";
         private boolean up = true;
         private Runnable onClosed = () -> {};
@@ -213,38 +194,6 @@
             return !up;
         }
 
-        @Override
-        public long targetIncarnation() {
-            return 1;
-        }
-
-        @Override
-        public void open() {}
-
-        @Override
-        public void send(ForwardedCall call) {}
-
-        @Override
-        public void send(CallSeal seal) {}
-
-        @Override
-        public void send(CallCancel cancel) {}
-
-        @Override
-        public void send(FleetNews update) {}
-
-        @Override
-        public void send(ReaderSign sign) {}
-
-        @Override
-        public void send(QuotaReport report) {}
-
-        @Override
-        public void send(QuotaGrant grant) {}
-
-        @Override
-        public void send(FleetRequest request) {}
-
         @Override
         public void retire(Runnable listener) {
             state = "retired";
--- a/relay/src/test/java/org/damaskmoor/relay/internal/quota/NodeQuotasTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/internal/quota/NodeQuotasTest.java
@@ -17,23 +17,17 @@
 import org.damaskmoor.core.tenancy.RequestQuota;
 import org.damaskmoor.core.tenancy.Tenant;
 import org.damaskmoor.core.tenancy.TenantTable;
+import org.damaskmoor.relay.fixture.IdleLink;
 import org.damaskmoor.relay.fixture.ManualTimers;
 import org.damaskmoor.relay.fixture.SilentLog;
 import org.damaskmoor.relay.internal.caller.CallerReply;
 import org.damaskmoor.relay.internal.caller.CallerRequest;
 import org.damaskmoor.relay.internal.fleet.FleetDirectory;
 import org.damaskmoor.relay.internal.fleet.LeavingUpstreams;
-import org.damaskmoor.relay.internal.link.CallLink;
 import org.damaskmoor.relay.internal.metrics.RelayMetrics;
-import org.damaskmoor.schema.link.CallCancel;
-import org.damaskmoor.schema.link.CallSeal;
 import org.damaskmoor.schema.link.FleetMember;
-import org.damaskmoor.schema.link.FleetNews;
-import org.damaskmoor.schema.link.FleetRequest;
-import org.damaskmoor.schema.link.ForwardedCall;
 import org.damaskmoor.schema.link.QuotaGrant;
 import org.damaskmoor.schema.link.QuotaReport;
-import org.damaskmoor.schema.link.ReaderSign;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -176,7 +170,7 @@
     }
 
     /** A link that carries frames about quotas only. */
-    private final class QuotaLink implements CallLink {
+    private final class QuotaLink extends IdleLink {
         private final int from;
         private final int to;
 
@@ -185,39 +179,6 @@
             this.to = to;
         }
 
-        @Override
-        public boolean isUp() {
-            return true;
-        }
-
-        @Override
-        public boolean isFailing() {
-            return false;
-        }
-
-        @Override
-        public long targetIncarnation() {
-            return 1;
-        }
-
-        @Override
-        public void open() {}
-
-        @Override
-        public void send(ForwardedCall call) {}
-
-        @Override
-        public void send(CallSeal seal) {}
-
-        @Override
-        public void send(CallCancel cancel) {}
-
-        @Override
-        public void send(FleetNews update) {}
-
-        @Override
-        public void send(ReaderSign sign) {}
-
         @Override
         public void send(QuotaReport report) {
             messages++;
@@ -243,19 +204,5 @@
             messages++;
             timers.schedule(DELAY, () -> nodes.get(from).onProbeAnswered(id(to), answer));
         }
-
-        @Override
-        public void send(FleetRequest request) {}
-
-        @Override
-        public void retire(Runnable onClosed) {
-            onClosed.run();
-        }
-
-        @Override
-        public void reinstate() {}
-
-        @Override
-        public void close() {}
     }
 }
