--- a/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/RelayNode.java
@@ -90,14 +90,7 @@
         this.target = createTarget(loop);
         target.upstreamTracker().awaitHistory();
         this.dialer =
-                new LinkDialer(
-                        loop,
-                        this.timers,
-                        self,
-                        incarnation,
-                        this::configurationVersion,
-                        () -> configuration().compressedText(),
-                        log);
+                new LinkDialer(loop, this.timers, self, incarnation, this::configuration, log);
         this.fleet = createFleetDirectory();
         this.crashes = new CrashBroadcaster(self, fleet::all, this.timers, random, log);
         this.quotas = new NodeQuotas(self, incarnation, fleet, this.timers, log, metrics);
--- a/relay/src/main/java/org/damaskmoor/relay/internal/fleet/ConfigurationHolder.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/fleet/ConfigurationHolder.java
@@ -11,6 +11,7 @@
 import org.damaskmoor.platform.protocol.ConfigurationDecoder;
 import org.damaskmoor.platform.protocol.MalformedMessageException;
 import org.damaskmoor.platform.protocol.StoredRow;
+import org.damaskmoor.relay.internal.link.ConfigurationSource;
 import org.damaskmoor.relay.internal.log.EventLog;
 
 /**
@@ -18,7 +19,7 @@
  *
  * <p>Confined to the event loop. Invariant: the version never decreases.
  */
-public final class ConfigurationHolder implements TableWatch.Listener {
+public final class ConfigurationHolder implements TableWatch.Listener, ConfigurationSource {
     /** Greatest length of a configuration that a peer sends compressed. */
     private static final int MAX_TEXT_BYTES = 8 * 1024 * 1024;
 
@@ -62,6 +63,7 @@
     }
 
     /** The version in force; 0 before the first one. */
+    @Override
     public long version() {
         return table == null ? 0 : table.version();
     }
@@ -72,6 +74,7 @@
     }
 
     /** The text of the configuration in force, compressed. */
+    @Override
     public ByteString compressedText() {
         if (compressedText.isEmpty()) {
             compressedText = TextCompression.compress(text);
--- a/relay/src/main/java/org/damaskmoor/relay/internal/link/LinkDialer.java
+++ b/relay/src/main/java/org/damaskmoor/relay/internal/link/LinkDialer.java
@@ -1,12 +1,10 @@
 package org.damaskmoor.relay.internal.link;
 
-import com.google.protobuf.ByteString;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
-import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.damaskmoor.core.id.Incarnation;
 import org.damaskmoor.core.id.NodeId;
@@ -24,27 +22,27 @@
 
     private final Bootstrap bootstrap;
     private final HelloFrameFactory helloFrames;
-    private final Supplier<ByteString> compressedConfiguration;
+    private final Supplier<ConfigurationSource> configuration;
     private final Timers timers;
     private final ConnectionFailureLog failureLog;
 
     /**
      * Creates a dialer.
      *
-     * @param compressedConfiguration the configuration in force, for nodes that have none
+     * @param configuration tells other nodes the configuration in force
      */
     public LinkDialer(
             EventLoop loop,
             Timers timers,
             NodeId self,
             Incarnation incarnation,
-            LongSupplier configurationVersion,
-            Supplier<ByteString> compressedConfiguration,
+            Supplier<ConfigurationSource> configuration,
             EventLog log) {
-        this.compressedConfiguration = compressedConfiguration;
+        this.configuration = configuration;
         this.timers = timers;
         this.failureLog = new ConnectionFailureLog(log, "outgoing-link");
-        this.helloFrames = new HelloFrameFactory(self, incarnation, configurationVersion);
+        this.helloFrames =
+                new HelloFrameFactory(self, incarnation, () -> configuration.get().version());
         this.bootstrap =
                 new Bootstrap()
                         .group(loop)
@@ -57,7 +55,7 @@
     private LinkFrame configurationFrame() {
         FleetNews update =
                 FleetNews.newBuilder()
-                        .setCompressedConfiguration(compressedConfiguration.get())
+                        .setCompressedConfiguration(configuration.get().compressedText())
                         .build();
         return LinkFrame.newBuilder().setFleetNews(update).build();
     }
--- a/relay/src/test/java/org/damaskmoor/relay/ColdUpstreamTest.java
+++ b/relay/src/test/java/org/damaskmoor/relay/ColdUpstreamTest.java
@@ -153,9 +153,7 @@
 
     /** Guards against calls that start without a limit before the configuration is known. */
     @Test
-    void
-            should_pace_calls_when_the_relay_gets_no_configuration_from_store_or_seeds_after_a_restart()
-                    throws Exception {
+    void should_pace_calls_when_a_restarted_relay_hears_only_from_its_callers() throws Exception {
         // given
         send("before");
         fleet.store.setMode(StoreStandIn.Mode.UNAVAILABLE);
