Stand-in: one place that writes how long an upstream remains cold

SoakUpstream repeated the users' header name outside platform/. It asks UpstreamStandIn.coldLine now, which sayCold uses as well. The bytes sent are the same. Formatter and linter pass on soak and what it needs; ColdUpstreamTest, the soak's checker tests and FaultPlannerTest pass.

--- a/soak/src/main/java/org/damaskmoor/soak/SoakUpstream.java
+++ b/soak/src/main/java/org/damaskmoor/soak/SoakUpstream.java
@@ -261,7 +261,7 @@
 
     private void answerHealthCheck(Incarnation self, Connection connection)
             throws IOException, InterruptedException {
-        String coldLine = "Cold-Ms: " + coldMilliseconds(self) + "\r\n";
+        String coldLine = UpstreamStandIn.coldLine(coldMilliseconds(self));
         String answer =
                 self.server().healthy().replace("Content-Length", coldLine + "Content-Length");
         Optional<StutteringAnswers> stutter = stuttering;
